Lay the thin path: log, operator, instances, servers, callers

Cause: nothing existed. A request must be served from end to end before any decision can be measured.

Weighed: nbhttp's client and parser gather a body with a content length (read in the library's source: the parser leaves stateBodyContentLength only when all of it is there), so downloads would cost their size in memory. net/http stands in on the server side only.

--- /dev/null
+++ b/answerer/answerer.go
@@ -0,0 +1,176 @@
+// Package answerer holds the closed list of the errors that an instance
+// answers in its own name, and the table from each kind to its HTTP status,
+// its outcome and its words.
+//
+// A caller decides what to do next from the outcome alone. "not-run" promises
+// that no server ran the request, so it may be sent again as it is. "unknown"
+// promises nothing. "ran" says that it ran. The outcome speaks of the request
+// over all of its tries: one try that may have run makes it unknown for good,
+// which is why Answer takes the history and not only the kind.
+package answerer
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+)
+
+// Kind is one entry of the closed list of errors.
+type Kind string
+
+// The kinds.
+const (
+	KindNotReady       Kind = "not-ready"
+	KindUnknownService Kind = "unknown-service"
+	KindBadRequest     Kind = "bad-request"
+	KindTooLarge       Kind = "too-large"
+	KindHeaderLimit    Kind = "header-limit"
+	KindBadDeadline    Kind = "bad-deadline"
+	KindKeyMissing     Kind = "key-missing"
+	KindKeyMalformed   Kind = "key-malformed"
+	KindKeyMismatch    Kind = "key-mismatch"
+	KindOverloaded     Kind = "overloaded"
+	KindNoServer       Kind = "no-server"
+	KindDeadline       Kind = "deadline-passed"
+	KindServerFailed   Kind = "server-failed"
+	KindTruncated      Kind = "answer-truncated"
+	KindQuarantined    Kind = "quarantined"
+	KindOutcomeUnknown Kind = "outcome-unknown"
+	KindAlreadyRan     Kind = "already-ran"
+	KindTableFull      Kind = "key-table-full"
+	KindLeaving        Kind = "leaving"
+	KindInternal       Kind = "internal"
+)
+
+// Outcome says whether a request ran.
+type Outcome string
+
+// The outcomes.
+const (
+	OutcomeNotRun  Outcome = "not-run"
+	OutcomeUnknown Outcome = "unknown"
+	OutcomeRan     Outcome = "ran"
+)
+
+// Names of the headers that instances set on answers.
+const (
+	HeaderKind      = "lagoonstile-kind"
+	HeaderOutcome   = "lagoonstile-outcome"
+	HeaderRequestID = "lagoonstile-request-id"
+	HeaderReplayed  = "lagoonstile-replayed"
+)
+
+// Entry is one line of the table.
+type Entry struct {
+	Kind   Kind
+	Status int
+	// Outcome holds when no try before may have run.
+	Outcome Outcome
+	Text    string
+}
+
+// table has one line for each kind, in the order of the list above.
+var table = []Entry{
+	{KindNotReady, http.StatusServiceUnavailable, OutcomeNotRun, "This instance has no configuration in force yet. Use another address."},
+	{KindUnknownService, http.StatusNotFound, OutcomeNotRun, "No service by that name or route is configured."},
+	{KindBadRequest, http.StatusBadRequest, OutcomeNotRun, "The request is not valid HTTP."},
+	{KindTooLarge, http.StatusRequestEntityTooLarge, OutcomeNotRun, "The request is larger than this instance takes."},
+	{KindHeaderLimit, http.StatusRequestHeaderFieldsTooLarge, OutcomeNotRun, "The request has more headers than this instance takes."},
+	{KindBadDeadline, http.StatusBadRequest, OutcomeNotRun, "The header lagoonstile-deadline-ms is not a whole number over 0."},
+	{KindKeyMissing, http.StatusBadRequest, OutcomeNotRun, "A request to this service needs an idempotency-key that starts with the home of an entry answer."},
+	{KindKeyMalformed, http.StatusBadRequest, OutcomeNotRun, "The idempotency-key does not start with the home of an entry answer."},
+	{KindKeyMismatch, http.StatusUnprocessableEntity, OutcomeUnknown, "The idempotency-key was used for another request before."},
+	{KindOverloaded, http.StatusServiceUnavailable, OutcomeNotRun, "There is more work of this rank than the servers can take. Send it again later."},
+	{KindNoServer, http.StatusServiceUnavailable, OutcomeNotRun, "No server could be reached."},
+	{KindDeadline, http.StatusGatewayTimeout, OutcomeNotRun, "The deadline passed before there was an answer."},
+	{KindServerFailed, http.StatusBadGateway, OutcomeUnknown, "The server failed before its answer was complete."},
+	{KindTruncated, http.StatusBadGateway, OutcomeUnknown, "The server's answer was shorter than it said."},
+	{KindQuarantined, http.StatusUnprocessableEntity, OutcomeUnknown, "Servers crashed on this request, so it is not run again."},
+	{KindOutcomeUnknown, http.StatusBadGateway, OutcomeUnknown, "Whether the request ran cannot be known."},
+	{KindAlreadyRan, http.StatusConflict, OutcomeRan, "The request ran before; its answer is no longer kept."},
+	{KindTableFull, http.StatusServiceUnavailable, OutcomeNotRun, "This instance takes no more keys for now. Ask for another home."},
+	{KindLeaving, http.StatusServiceUnavailable, OutcomeNotRun, "This instance is leaving and takes no new orders. Ask for another home."},
+	{KindInternal, http.StatusInternalServerError, OutcomeUnknown, "This instance made a mistake. It is in its log under the request id."},
+}
+
+// Table returns a copy of the table, one line for each kind.
+func Table() []Entry {
+	return append([]Entry(nil), table...)
+}
+
+// Lookup returns the line of a kind. It panics on a kind that is not in the
+// table, for the list is closed.
+func Lookup(kind Kind) Entry {
+	for _, entry := range table {
+		if entry.Kind == kind {
+			return entry
+		}
+	}
+	panic(fmt.Sprintf("answerer: kind %q is not in the table", kind))
+}
+
+// Failure is an error with its kind and with what is known of the request.
+type Failure struct {
+	Kind Kind
+	// MayHaveRun says that some try of the request may have run on a server.
+	MayHaveRun bool
+	// Cause is for the log, not for the caller. It may be nil.
+	Cause error
+}
+
+var _ error = (*Failure)(nil)
+
+// Error returns the kind and the cause.
+func (f *Failure) Error() string {
+	if f.Cause == nil {
+		return string(f.Kind)
+	}
+	return fmt.Sprintf("%s: %v", f.Kind, f.Cause)
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// Outcome returns what the caller may be told of the request.
+func (f *Failure) Outcome() Outcome {
+	outcome := Lookup(f.Kind).Outcome
+	if outcome == OutcomeNotRun && f.MayHaveRun {
+		return OutcomeUnknown
+	}
+	return outcome
+}
+
+// body is the JSON that goes with an answer of our own.
+type body struct {
+	Kind      Kind    `json:"kind"`
+	Outcome   Outcome `json:"outcome"`
+	Message   string  `json:"message"`
+	RequestID string  `json:"request-id"`
+}
+
+// Render returns status, headers and body of the failure's answer.
+func (f *Failure) Render(requestID string) (int, http.Header, []byte) {
+	entry := Lookup(f.Kind)
+	data, err := json.Marshal(body{Kind: f.Kind, Outcome: f.Outcome(), Message: entry.Text, RequestID: requestID})
+	if err != nil {
+		panic(fmt.Sprintf("answerer: a struct of strings does not marshal: %v", err))
+	}
+	header := http.Header{}
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(data)))
+	header.Set(HeaderKind, string(f.Kind))
+	header.Set(HeaderOutcome, string(f.Outcome()))
+	header.Set(HeaderRequestID, requestID)
+	return entry.Status, header, data
+}
+
+// Write sends the failure's answer.
+func (f *Failure) Write(w http.ResponseWriter, requestID string) {
+	status, header, data := f.Render(requestID)
+	for name, values := range header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(data) // A caller that is gone needs no answer.
+}
--- /dev/null
+++ b/cmd/standin/demonstrator/fleet.go
@@ -0,0 +1,262 @@
+package demonstrator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"lagoonstile"
+	"lagoonstile/cmd/standin/emulator"
+	"lagoonstile/connector"
+	"lagoonstile/listener"
+	"lagoonstile/loader"
+	"lagoonstile/operator"
+	"lagoonstile/runner"
+)
+
+// Group is the servers of one service.
+type Group struct {
+	Service lagoonstile.ServiceID
+	// Prefix starts the ids of the servers.
+	Prefix string
+	Count  int
+	// Work is how long one request takes.
+	Work time.Duration
+}
+
+// Plan describes a fleet with everything around it.
+type Plan struct {
+	Domains []lagoonstile.FailureDomain
+	Groups  []Group
+	// Rules is the text of the rules file.
+	Rules     string
+	Instances int
+	// Retention and Lag are those of the platform's services.
+	Retention, Lag time.Duration
+	// Settings may change an instance's settings before it starts.
+	Settings func(*loader.Settings)
+	Log      *slog.Logger
+	// Dir holds the inventory and rules files.
+	Dir string
+}
+
+// Fleet is a platform, servers and instances in this process, each on real
+// sockets of its own and run by the daemon's code.
+type Fleet struct {
+	plan     Plan
+	Platform *emulator.Platform
+	Ledger   *emulator.Ledger
+
+	mu        sync.Mutex
+	servers   map[lagoonstile.ServerID]*emulator.Server
+	groups    map[lagoonstile.ServerID]Group
+	instances map[lagoonstile.InstanceID]*runner.Instance
+	started   int
+}
+
+// Start starts everything that the plan names. No configuration is published.
+func Start(plan Plan) (*Fleet, error) {
+	if plan.Log == nil {
+		plan.Log = slog.New(slog.NewTextHandler(io.Discard, nil))
+	}
+	platform, err := emulator.StartPlatform("127.0.0.1:0", plan.Retention, plan.Lag)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		plan:      plan,
+		Platform:  platform,
+		Ledger:    emulator.NewLedger(),
+		servers:   make(map[lagoonstile.ServerID]*emulator.Server),
+		groups:    make(map[lagoonstile.ServerID]Group),
+		instances: make(map[lagoonstile.InstanceID]*runner.Instance),
+	}
+	for _, group := range plan.Groups {
+		for i := range group.Count {
+			id := lagoonstile.ServerID(fmt.Sprintf("%s-%d", group.Prefix, i+1))
+			if err := f.StartServer(id, group, "127.0.0.1:0"); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for range plan.Instances {
+		if _, err := f.AddInstance(); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+// StartServer starts a server, or starts it again on its address.
+func (f *Fleet) StartServer(id lagoonstile.ServerID, group Group, address string) error {
+	server := emulator.NewServer(id, lagoonstile.DefaultSlots, group.Work, f.Ledger, uint64(len(f.servers)+1))
+	if err := server.Start(address); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.servers[id] = server
+	f.groups[id] = group
+	return nil
+}
+
+// Server returns a server by its id.
+func (f *Fleet) Server(id lagoonstile.ServerID) *emulator.Server {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servers[id]
+}
+
+// AddInstance starts one more instance and puts it into the instance list.
+func (f *Fleet) AddInstance() (*runner.Instance, error) {
+	f.mu.Lock()
+	f.started++
+	number := f.started
+	f.mu.Unlock()
+	settings := loader.Settings{
+		Instance:      lagoonstile.InstanceID(fmt.Sprintf("proxy-%d", number)),
+		FailureDomain: f.plan.Domains[number%len(f.plan.Domains)],
+		Callers:       "127.0.0.1:0",
+		Peers:         "127.0.0.1:0",
+		Admin:         "127.0.0.1:0",
+		LogURL:        f.Platform.URL(),
+		InstancesURL:  f.Platform.URL(),
+		Limits:        listener.DefaultLimits,
+		InFlight:      loader.DefaultInFlight,
+		KeyTable:      loader.DefaultKeyTable,
+		EntryValidity: time.Second,
+		DrainLimit:    loader.DefaultDrainLimit,
+	}
+	if f.plan.Settings != nil {
+		f.plan.Settings(&settings)
+	}
+	instance, err := runner.Start(settings, f.plan.Log)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.instances[settings.Instance] = instance
+	f.mu.Unlock()
+	f.list(instance, lagoonstile.InstanceLive)
+	return instance, nil
+}
+
+// list writes an instance's line of the instance list.
+func (f *Fleet) list(instance *runner.Instance, state lagoonstile.InstanceState) {
+	self := instance.Identity()
+	f.Platform.Instances.Set(lagoonstile.Instance{
+		ID:            self.Instance,
+		State:         state,
+		CallerAddress: instance.CallerAddress(),
+		PeerAddress:   self.PeerAddress,
+		AdminAddress:  instance.AdminAddress(),
+		FailureDomain: self.FailureDomain,
+	})
+}
+
+// Instances returns the running instances, sorted by id.
+func (f *Fleet) Instances() []*runner.Instance {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []*runner.Instance
+	for _, instance := range f.instances {
+		out = append(out, instance)
+	}
+	slices.SortFunc(out, func(a, b *runner.Instance) int {
+		return strings.Compare(string(a.Identity().Instance), string(b.Identity().Instance))
+	})
+	return out
+}
+
+// Drain makes an instance leave gracefully and waits until it has left.
+func (f *Fleet) Drain(ctx context.Context, instance *runner.Instance) error {
+	f.list(instance, lagoonstile.InstanceLeaving)
+	err := instance.Drain(ctx)
+	f.forget(instance)
+	return err
+}
+
+// Crash ends an instance at once.
+func (f *Fleet) Crash(instance *runner.Instance) {
+	instance.Stop()
+	f.forget(instance)
+}
+
+func (f *Fleet) forget(instance *runner.Instance) {
+	id := instance.Identity().Instance
+	f.mu.Lock()
+	delete(f.instances, id)
+	f.mu.Unlock()
+	f.Platform.Instances.Remove(id)
+}
+
+// Inventory returns the text of an inventory file of all servers but those
+// named.
+func (f *Fleet) Inventory(without ...lagoonstile.ServerID) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var text strings.Builder
+	for _, group := range f.plan.Groups {
+		fmt.Fprintf(&text, "[[service]]\nname = %q\n", group.Service)
+		number := 0
+		for i := range group.Count {
+			id := lagoonstile.ServerID(fmt.Sprintf("%s-%d", group.Prefix, i+1))
+			number++
+			if slices.Contains(without, id) {
+				continue
+			}
+			domain := f.plan.Domains[number%len(f.plan.Domains)]
+			fmt.Fprintf(&text, "[[service.server]]\nid = %q\naddress = %q\nfailure-domain = %q\n", id, f.servers[id].Address(), domain)
+		}
+	}
+	return text.String()
+}
+
+// Publish publishes an inventory with the plan's rules through the operator's
+// own code and waits until it is in force.
+func (f *Fleet) Publish(ctx context.Context, inventory string) (operator.Publication, error) {
+	inventoryFile := filepath.Join(f.plan.Dir, "inventory.toml")
+	rulesFile := filepath.Join(f.plan.Dir, "rules.toml")
+	for file, text := range map[string]string{inventoryFile: inventory, rulesFile: f.plan.Rules} {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			return operator.Publication{}, err
+		}
+	}
+	want, err := loader.ReadConfiguration(inventoryFile, rulesFile)
+	if err != nil {
+		return operator.Publication{}, err
+	}
+	fleet := f.Operator()
+	publication, err := fleet.Publish(ctx, want, "demo")
+	if err != nil {
+		return publication, err
+	}
+	return publication, fleet.Wait(ctx, &publication)
+}
+
+// Operator returns the fleet as operators reach it.
+func (f *Fleet) Operator() *operator.Fleet {
+	url := f.Platform.URL()
+	return &operator.Fleet{Log: &connector.Log{Base: url}, Instances: &connector.InstanceList{Base: url}}
+}
+
+// Stop ends everything.
+func (f *Fleet) Stop() {
+	for _, instance := range f.Instances() {
+		f.Crash(instance)
+	}
+	f.mu.Lock()
+	servers := f.servers
+	f.mu.Unlock()
+	for _, server := range servers {
+		server.Stop()
+	}
+	f.Platform.Stop()
+}
--- /dev/null
+++ b/controller/status.go
@@ -0,0 +1,72 @@
+package controller
+
+import (
+	"time"
+
+	"lagoonstile"
+	"lagoonstile/ejector"
+)
+
+// ServiceStatus is what operators see of a service.
+type ServiceStatus struct {
+	Service   lagoonstile.ServiceID `json:"service"`
+	Rank      lagoonstile.Rank      `json:"rank"`
+	InUse     int                   `json:"servers-in-use"`
+	Floor     int                   `json:"floor"`
+	Running   int                   `json:"requests-running"`
+	Waiting   int                   `json:"requests-waiting"`
+	SlowAfter time.Duration         `json:"slow-after"`
+	Servers   []ServerStatus        `json:"servers"`
+}
+
+// ServerStatus is what operators see of a server.
+type ServerStatus struct {
+	Server   lagoonstile.ServerID `json:"server"`
+	State    ejector.State        `json:"state"`
+	Weight   float64              `json:"weight"`
+	Limit    int                  `json:"limit"`
+	InFlight int                  `json:"in-flight"`
+	PeerLoad int                  `json:"peers-in-flight"`
+	Good     uint64               `json:"good"`
+	Bad      uint64               `json:"bad"`
+	Link     uint64               `json:"link-failures"`
+	Shed     uint64               `json:"shed"`
+}
+
+// Services returns the state of every service, by id.
+func (s *State) Services() []ServiceStatus {
+	out := make([]ServiceStatus, 0, len(s.order))
+	for _, service := range s.order {
+		out = append(out, service.status())
+	}
+	return out
+}
+
+func (v *service) status() ServiceStatus {
+	status := ServiceStatus{
+		Service:   v.rules.ID,
+		Rank:      v.rules.Rank,
+		Floor:     v.rules.MinServers(),
+		SlowAfter: v.entry.SlowAfter,
+	}
+	status.Running, status.Waiting = v.gate.Load()
+	for _, server := range v.order {
+		if server.target.Weight > 0 {
+			status.InUse++
+		}
+		totals := server.target.Live.Totals()
+		status.Servers = append(status.Servers, ServerStatus{
+			Server:   server.target.Server.ID,
+			State:    server.state,
+			Weight:   server.target.Weight,
+			Limit:    server.target.Limit,
+			InFlight: server.target.Live.InFlight(),
+			PeerLoad: server.target.PeerLoad,
+			Good:     totals.Good,
+			Bad:      totals.Bad + totals.Slow,
+			Link:     totals.Link,
+			Shed:     totals.Shed,
+		})
+	}
+	return status
+}
--- /dev/null
+++ b/detector/detector.go
@@ -0,0 +1,326 @@
+// Package detector turns what instances see of a service's servers into
+// suspicion of single servers.
+//
+// # The test
+//
+// Each server has a cumulative log-likelihood ratio between two explanations of
+// its answers since it last looked healthy: that it fails as often as the
+// service's other servers do, or that it fails far more often (a CUSUM test: E.
+// S. Page, "Continuous Inspection Schemes", Biometrika 41, 1954). A bad answer
+// raises the score by much, a good one lowers it by little, and a score under
+// zero starts anew.
+//
+// For such a test the mean number of answers between two false alarms is at
+// least e to the power of the threshold (G. Lorden, "Procedures for Reacting to
+// a Change in Distribution", Annals of Mathematical Statistics 42, 1971). So
+// the threshold follows from what the operator chose: with so many answers a
+// week and so many false ejections accepted, it is the logarithm of their
+// quotient. Quiet services convict after fewer bad answers than busy ones.
+//
+// # The baseline
+//
+// The failure rate of the other servers is the larger one of a long and a short
+// average. The short one makes a bad caller, a bad class of requests or a
+// common dependency raise everybody's baseline within a few answers, so that
+// it convicts nobody. The score of an excursion is worked out anew from its
+// counts with the baseline of now: what looked strange when it came does not
+// count once it turns out that all servers did the same.
+//
+// # Two kinds of evidence
+//
+// Answers (errors, truncated and slow ones) speak of the server. They are
+// merged over instances, and convict for all of them if two instances saw bad
+// ones, or if only one has traffic. Link failures speak of a path. They count
+// for the instance that saw them and for no other.
+package detector
+
+import (
+	"math"
+	"time"
+
+	"lagoonstile"
+)
+
+// Origin names the instance that saw something.
+type Origin = lagoonstile.InstanceID
+
+// Evidence counts what one origin saw of one server in some time.
+type Evidence struct {
+	// Good and Bad count answers; slow ones are bad.
+	Good, Bad uint64
+	// Link counts failures of the path.
+	Link uint64
+}
+
+// Parameters of the test.
+const (
+	// failingRate is the share of bad answers of the server that the test looks
+	// for. Servers that fail a third as often are found too, only later.
+	failingRate = 0.5
+	// baselineFloor is the least failure rate that healthy servers are taken
+	// to have.
+	baselineFloor = 0.001
+	// linkBaseline and linkFailing are the same for the path.
+	linkBaseline = 0.001
+	linkFailing  = 0.9
+	// priorWeight is how many answers at the floor each average starts with.
+	priorWeight = 20
+	// shortHalfLife and longHalfLife are those of the averages.
+	shortHalfLife = 5 * time.Second
+	longHalfLife  = 30 * time.Minute
+	// shortAnswers is how many answers the short average keeps however old.
+	shortAnswers = 100
+	// rateHalfLife is that of the answer rate that the threshold follows.
+	rateHalfLife = 10 * time.Minute
+	// leastRate keeps the threshold sensible for a service that sleeps, in
+	// answers a second.
+	leastRate = 0.1
+	week      = 7 * 24 * time.Hour
+)
+
+// Service is the test over the servers of one service. It is not safe for
+// concurrent use.
+type Service struct {
+	self    Origin
+	servers map[lagoonstile.ServerID]*server
+	// order lists the servers in the order they came in, for loops that must
+	// give the same result every time.
+	order []*server
+	// rate is the smoothed rate of all answers, in answers a second.
+	rate    float64
+	started time.Time
+	updated time.Time
+}
+
+// server is what is known of one server.
+type server struct {
+	id lagoonstile.ServerID
+	// merged counts the answers of the current excursion over all origins, own
+	// those that this instance saw, link this instance's path.
+	merged, own excursion
+	link        excursion
+	// streak counts good answers since the last bad one or Forgive.
+	streak uint64
+	// badOrigins are the origins of the bad answers in merged.
+	badOrigins map[Origin]bool
+	// long and short are averages over all answers ever, trials included.
+	long, short average
+	// pending is what came in since the last evaluation.
+	pending average
+}
+
+// excursion counts answers since the score was last zero.
+type excursion struct{ good, bad float64 }
+
+// average is a pair of decaying counts.
+type average struct{ total, bad float64 }
+
+// Finding is the state of the test for one server.
+type Finding struct {
+	Server lagoonstile.ServerID
+	// Score and Threshold are log-likelihood ratios.
+	Score, Threshold float64
+	// Convicted says that the server fails for everybody, Steer that this
+	// instance should go around it.
+	Convicted, Steer bool
+	// Good, Bad and Origins are the evidence of the current excursion.
+	Good, Bad, Origins int
+	// Streak counts good answers since the last bad one or Forgive.
+	Streak int
+	// BadShare is the share of bad answers lately, from 0 to 1.
+	BadShare float64
+	// Baseline is the failure rate of the others.
+	Baseline float64
+	// LinkFailures counts this instance's path failures in a row, nearly.
+	LinkFailures int
+}
+
+// New returns the test of a service as the given instance runs it.
+func New(self Origin) *Service {
+	return &Service{self: self, servers: make(map[lagoonstile.ServerID]*server)}
+}
+
+// SetServers keeps the state of servers that stay and forgets the others.
+func (s *Service) SetServers(ids []lagoonstile.ServerID) {
+	kept := make(map[lagoonstile.ServerID]*server, len(ids))
+	s.order = s.order[:0]
+	for _, id := range ids {
+		next := s.servers[id]
+		if next == nil {
+			next = &server{id: id, badOrigins: make(map[Origin]bool)}
+		}
+		kept[id] = next
+		s.order = append(s.order, next)
+	}
+	s.servers = kept
+}
+
+// Observe adds evidence. Evidence of unknown servers is dropped.
+func (s *Service) Observe(id lagoonstile.ServerID, origin Origin, evidence Evidence) {
+	server := s.servers[id]
+	if server == nil {
+		return
+	}
+	good, bad := float64(evidence.Good), float64(evidence.Bad)
+	server.merged.add(good, bad)
+	server.pending.total += good + bad
+	server.pending.bad += bad
+	server.streak += evidence.Good
+	if evidence.Bad > 0 {
+		server.badOrigins[origin] = true
+		server.streak = 0
+	}
+	if origin == s.self {
+		server.own.add(good, bad)
+		server.link.add(good+bad, float64(evidence.Link))
+	}
+}
+
+// Forgive starts the test of a server anew, as for a trial.
+func (s *Service) Forgive(id lagoonstile.ServerID) {
+	server := s.servers[id]
+	if server == nil {
+		return
+	}
+	server.merged = excursion{}
+	server.own = excursion{}
+	server.link = excursion{}
+	server.streak = 0
+	server.badOrigins = make(map[Origin]bool)
+}
+
+// Evaluate brings the test up to now and returns a finding for each server, in
+// the order of SetServers. The number of origins with traffic tells whether
+// one origin's word is all there can be.
+func (s *Service) Evaluate(now time.Time, falseEjectionsPerWeek float64, originsWithTraffic int) []Finding {
+	s.age(now)
+	threshold := s.threshold(falseEjectionsPerWeek)
+	var totals sums
+	for _, server := range s.order {
+		totals.add(server)
+	}
+	findings := make([]Finding, 0, len(s.order))
+	for _, server := range s.order {
+		findings = append(findings, server.find(totals.without(server).baseline(), threshold, originsWithTraffic))
+	}
+	return findings
+}
+
+// threshold returns the score that convicts.
+func (s *Service) threshold(falseEjectionsPerWeek float64) float64 {
+	answers := math.Max(s.rate, leastRate) * week.Seconds()
+	return math.Max(math.Log(answers/falseEjectionsPerWeek), 1)
+}
+
+// age decays the averages and folds in what is pending.
+func (s *Service) age(now time.Time) {
+	if s.updated.IsZero() {
+		s.started, s.updated = now, now
+	}
+	elapsed := now.Sub(s.updated)
+	s.updated = now
+	arrived := 0.0
+	for _, server := range s.order {
+		arrived += server.pending.total
+		server.age(elapsed)
+	}
+	if elapsed <= 0 {
+		return
+	}
+	// The mean over a short life stands in for the smoothed rate until there
+	// is a half-life of it.
+	span := math.Min(rateHalfLife.Seconds(), now.Sub(s.started).Seconds())
+	weight := math.Min(1, elapsed.Seconds()/math.Max(span, elapsed.Seconds()))
+	s.rate += weight * (arrived/elapsed.Seconds() - s.rate)
+}
+
+func (v *server) age(elapsed time.Duration) {
+	v.long.decay(elapsed, longHalfLife, 0)
+	v.short.decay(elapsed, shortHalfLife, shortAnswers)
+	v.long.add(v.pending)
+	v.short.add(v.pending)
+	v.pending = average{}
+}
+
+// find settles the excursions and tells what they show.
+func (v *server) find(baseline, threshold float64, originsWithTraffic int) Finding {
+	failing := math.Max(failingRate, (1+baseline)/2)
+	score := v.merged.settle(baseline, failing)
+	if score == 0 {
+		clear(v.badOrigins)
+	}
+	own := v.own.settle(baseline, failing)
+	link := v.link.settle(linkBaseline, linkFailing)
+	origins := len(v.badOrigins)
+	return Finding{
+		Server:       v.id,
+		Score:        score,
+		Threshold:    threshold,
+		Convicted:    score >= threshold && (origins >= 2 || originsWithTraffic <= 1),
+		Steer:        own >= threshold || link >= threshold,
+		Good:         int(v.merged.good),
+		Bad:          int(v.merged.bad),
+		Origins:      origins,
+		Streak:       int(v.streak),
+		BadShare:     v.short.share(),
+		Baseline:     baseline,
+		LinkFailures: int(v.link.bad),
+	}
+}
+
+func (e *excursion) add(good, bad float64) {
+	e.good += good
+	e.bad += bad
+}
+
+// settle returns the score, and starts anew when it is not over zero.
+func (e *excursion) settle(baseline, failing float64) float64 {
+	score := e.bad*math.Log(failing/baseline) + e.good*math.Log((1-failing)/(1-baseline))
+	if score <= 0 {
+		*e = excursion{}
+		return 0
+	}
+	return score
+}
+
+// decay halves the counts every half-life, but by age alone never under the
+// given number of answers.
+func (a *average) decay(elapsed, halfLife time.Duration, least float64) {
+	if elapsed <= 0 || a.total <= least {
+		return
+	}
+	factor := math.Exp2(-elapsed.Seconds() / halfLife.Seconds())
+	factor = math.Max(factor, least/a.total)
+	a.total *= factor
+	a.bad *= factor
+}
+
+func (a *average) add(other average) {
+	a.total += other.total
+	a.bad += other.bad
+}
+
+// share returns the share of bad answers, with the prior mixed in.
+func (a average) share() float64 {
+	return (a.bad + priorWeight*baselineFloor) / (a.total + priorWeight)
+}
+
+// sums adds up the averages of several servers.
+type sums struct{ long, short average }
+
+func (t *sums) add(server *server) {
+	t.long.add(server.long)
+	t.short.add(server.short)
+}
+
+func (t sums) without(server *server) sums {
+	t.long.add(average{total: -server.long.total, bad: -server.long.bad})
+	t.short.add(average{total: -server.short.total, bad: -server.short.bad})
+	return t
+}
+
+// baseline returns the failure rate that the servers summed up show.
+func (t sums) baseline() float64 {
+	share := math.Max(t.long.share(), t.short.share())
+	return math.Min(math.Max(share, baselineFloor), 0.99)
+}
--- /dev/null
+++ b/runner/handlers.go
@@ -0,0 +1,152 @@
+package runner
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"lagoonstile"
+	"lagoonstile/answerer"
+	"lagoonstile/auditor"
+	"lagoonstile/controller"
+	"lagoonstile/locator"
+)
+
+// Paths of the instance's own answers.
+const (
+	PathEntry   = "/lagoonstile/entry"
+	PathStatus  = "/status"
+	PathMetrics = "/metrics"
+	PathAudit   = "/audit"
+	PathDrain   = "/drain"
+)
+
+// callerHandler serves entry answers and forwards everything else.
+func (i *Instance) callerHandler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if req.URL.Path == PathEntry {
+			i.serveEntry(w, req)
+			return
+		}
+		i.forwarder.ServeHTTP(w, req)
+	})
+}
+
+// serveEntry tells a caller which addresses to use for a service.
+func (i *Instance) serveEntry(w http.ResponseWriter, req *http.Request) {
+	query := req.URL.Query()
+	service := lagoonstile.ServiceID(query.Get("service"))
+	table := i.table.Load()
+	switch {
+	case table == nil:
+		fail(w, answerer.KindNotReady)
+		return
+	case table.Entry(service) == nil:
+		fail(w, answerer.KindUnknownService)
+		return
+	}
+	near := lagoonstile.FailureDomain(query.Get("failure-domain"))
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	answer, ok := locator.Locate(i.candidates(service), near, i.settings.EntryValidity, random)
+	if !ok {
+		fail(w, answerer.KindLeaving)
+		return
+	}
+	writeJSON(w, answer)
+}
+
+// candidates lists the instances that an entry answer may name.
+func (i *Instance) candidates(_ lagoonstile.ServiceID) []locator.Candidate {
+	running, waiting := i.gate.Load()
+	return []locator.Candidate{{
+		Home:          lagoonstile.Home{Instance: i.self.Instance, Incarnation: i.self.Incarnation, Epoch: 1},
+		Address:       i.CallerAddress(),
+		FailureDomain: i.self.FailureDomain,
+		Load:          running + waiting,
+		Leaving:       i.hidden.Load(),
+	}}
+}
+
+// Status is what an instance tells operators of itself.
+type Status struct {
+	Instance      lagoonstile.InstanceID    `json:"instance"`
+	Incarnation   lagoonstile.Incarnation   `json:"incarnation"`
+	FailureDomain lagoonstile.FailureDomain `json:"failure-domain"`
+	Version       lagoonstile.Version       `json:"version"`
+	// Blind says that records of the log expired unread.
+	Blind        bool                       `json:"blind"`
+	Leaving      bool                       `json:"leaving"`
+	Running      int                        `json:"requests-running"`
+	Waiting      int                        `json:"requests-waiting"`
+	AuditWaiting int                        `json:"audit-waiting"`
+	Peers        []PeerStatus               `json:"peers"`
+	Services     []controller.ServiceStatus `json:"services"`
+}
+
+// PeerStatus is what an instance last heard of another.
+type PeerStatus struct {
+	Instance lagoonstile.InstanceID `json:"instance"`
+	Version  lagoonstile.Version    `json:"version"`
+	Leaving  bool                   `json:"leaving"`
+	AgeMs    int64                  `json:"age-ms"`
+}
+
+// adminHandler serves operators.
+func (i *Instance) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, i.Status()) })
+	mux.HandleFunc("GET "+PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		_, _ = i.recorder.WriteTo(w)
+	})
+	mux.HandleFunc("GET "+PathAudit, func(w http.ResponseWriter, _ *http.Request) {
+		var events []auditor.Event
+		i.control.ask(func(_ time.Time, state *controller.State) { events = state.Audit().Recent() })
+		writeJSON(w, events)
+	})
+	mux.HandleFunc("POST "+PathDrain, func(w http.ResponseWriter, _ *http.Request) {
+		i.requestDrain()
+		writeJSON(w, struct{}{})
+	})
+	return mux
+}
+
+// Status returns the instance's state as operators see it.
+func (i *Instance) Status() Status {
+	status := Status{Instance: i.self.Instance, Incarnation: i.self.Incarnation, FailureDomain: i.self.FailureDomain}
+	status.Running, status.Waiting = i.gate.Load()
+	i.control.ask(func(now time.Time, state *controller.State) {
+		status.Version = state.Version()
+		status.Blind = state.Blind()
+		status.Leaving = i.hidden.Load()
+		status.AuditWaiting = state.Audit().Waiting()
+		status.Services = state.Services()
+		for _, peer := range state.Peers(now) {
+			status.Peers = append(status.Peers, PeerStatus{
+				Instance: peer.Digest.Origin,
+				Version:  peer.Digest.Version,
+				Leaving:  peer.Digest.Leaving,
+				AgeMs:    now.Sub(peer.Heard).Milliseconds(),
+			})
+		}
+	})
+	return status
+}
+
+func fail(w http.ResponseWriter, kind answerer.Kind) {
+	failure := answerer.Failure{Kind: kind}
+	failure.Write(w, "")
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		fail(w, answerer.KindInternal)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	_, _ = w.Write(data) // A caller that is gone needs no answer.
+}
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,150 @@
+// Package runner puts one instance together: listeners, control goroutine,
+// log reader, peer links and audit writer. The daemon is a thin command around
+// it, and tests and the demo run several in one process through the same code.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"lagoonstile"
+	"lagoonstile/admitter"
+	"lagoonstile/connector"
+	"lagoonstile/controller"
+	"lagoonstile/forwarder"
+	"lagoonstile/listener"
+	"lagoonstile/loader"
+	"lagoonstile/picker"
+	"lagoonstile/recorder"
+	"lagoonstile/router"
+	"lagoonstile/scheduler"
+)
+
+// Instance is one running instance.
+type Instance struct {
+	settings loader.Settings
+	log      *slog.Logger
+	self     controller.Identity
+
+	platformLog  lagoonstile.Log
+	instanceList lagoonstile.InstanceList
+
+	table     atomic.Pointer[router.Table]
+	control   *control
+	forwarder *forwarder.Forwarder
+	recorder  *recorder.Recorder
+	gate      *admitter.Gate
+
+	callers *listener.Listener
+	admin   *listener.Listener
+
+	cancel context.CancelFunc
+	loops  sync.WaitGroup
+	// hidden says that entry answers no longer name this instance.
+	hidden atomic.Bool
+
+	drainOnce      sync.Once
+	drainRequested chan struct{}
+}
+
+// Start starts an instance. It serves until Stop or Drain; requests get
+// "not-ready" until a configuration is in force.
+func Start(settings loader.Settings, log *slog.Logger) (*Instance, error) {
+	i := &Instance{
+		settings:     settings,
+		log:          log.With("instance", settings.Instance),
+		platformLog:  &connector.Log{Base: settings.LogURL, Client: &http.Client{}},
+		instanceList: &connector.InstanceList{Base: settings.InstancesURL, Client: &http.Client{}},
+		recorder:     recorder.New(),
+		gate:         admitter.New(settings.InFlight, scheduler.DefaultShares),
+
+		drainRequested: make(chan struct{}),
+	}
+	i.forwarder = &forwarder.Forwarder{
+		Table:    i.table.Load,
+		Instance: i.gate,
+		Picker:   &picker.TwoChoices{},
+		Recorder: i.recorder,
+		Log:      i.log,
+	}
+	if err := i.listen(); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	i.cancel = cancel
+	i.startLoops(ctx)
+	i.log.Info("started", "callers", i.CallerAddress(), "admin", i.AdminAddress())
+	return i, nil
+}
+
+// listen opens the listeners and with them settles who this instance is.
+func (i *Instance) listen() error {
+	callers, err := listener.Listen(i.settings.Callers, i.settings.Limits, i.callerHandler())
+	if err != nil {
+		return fmt.Errorf("callers: %w", err)
+	}
+	admin, err := listener.Listen(i.settings.Admin, i.settings.Limits, i.adminHandler())
+	if err != nil {
+		callers.Close()
+		return fmt.Errorf("admin: %w", err)
+	}
+	i.callers = callers
+	i.admin = admin
+	i.self = controller.Identity{
+		Instance:      i.settings.Instance,
+		Incarnation:   lagoonstile.Incarnation(uuid.NewString()[:8]),
+		FailureDomain: i.settings.FailureDomain,
+		CallerAddress: callers.Address(),
+	}
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	i.control = newControl(controller.New(i.self, random))
+	return nil
+}
+
+func (i *Instance) startLoops(ctx context.Context) {
+	for _, loop := range []func(context.Context){i.runControl, i.readLog, i.readInstances, i.writeAudit} {
+		i.loops.Add(1)
+		go func() {
+			defer i.loops.Done()
+			loop(ctx)
+		}()
+	}
+}
+
+// CallerAddress returns the IP:port that callers connect to.
+func (i *Instance) CallerAddress() string { return i.callers.Address() }
+
+// AdminAddress returns the IP:port that operators connect to.
+func (i *Instance) AdminAddress() string { return i.admin.Address() }
+
+// Identity returns who this instance is.
+func (i *Instance) Identity() controller.Identity { return i.self }
+
+// Stop ends the instance at once, as a crash does.
+func (i *Instance) Stop() {
+	i.cancel()
+	i.callers.Close()
+	i.admin.Close()
+	i.forwarder.Close()
+	i.loops.Wait()
+}
+
+// sleep waits for d or the end of the context, and reports whether to go on.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
