Run orders at most once over peer links, and share what is seen

Cause: the thin path knew no orders and each instance was alone.

Ruled out on the way: the first demo never ejected a server that failed half of its work. The trace showed all its traffic came from one instance (near preference with slack), so the rule "two origins saw bad answers" could not be met. Origins are now counted per server, not per service: where one instance alone has traffic, its word is all there is.

--- a/answerer/answerer.go
+++ b/answerer/answerer.go
@@ -30,6 +30,7 @@
 	KindKeyMissing     Kind = "key-missing"
 	KindKeyMalformed   Kind = "key-malformed"
 	KindKeyMismatch    Kind = "key-mismatch"
+	KindKeySpent       Kind = "key-spent"
 	KindOverloaded     Kind = "overloaded"
 	KindNoServer       Kind = "no-server"
 	KindDeadline       Kind = "deadline-passed"
@@ -81,6 +82,7 @@
 	{KindKeyMissing, http.StatusBadRequest, OutcomeNotRun, "A request to this service needs an idempotency-key that starts with the home of an entry answer."},
 	{KindKeyMalformed, http.StatusBadRequest, OutcomeNotRun, "The idempotency-key does not start with the home of an entry answer."},
 	{KindKeyMismatch, http.StatusUnprocessableEntity, OutcomeUnknown, "The idempotency-key was used for another request before."},
+	{KindKeySpent, http.StatusConflict, OutcomeNotRun, "A request with this idempotency-key was refused before, and the key will never run. Make a new one."},
 	{KindOverloaded, http.StatusServiceUnavailable, OutcomeNotRun, "There is more work of this rank than the servers can take. Send it again later."},
 	{KindNoServer, http.StatusServiceUnavailable, OutcomeNotRun, "No server could be reached."},
 	{KindDeadline, http.StatusGatewayTimeout, OutcomeNotRun, "The deadline passed before there was an answer."},
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -76,9 +76,8 @@
 }
 
 // New returns the state of an instance that knows nothing yet.
-func New(self Identity, random *rand.Rand) *State {
+func New(random *rand.Rand) *State {
 	return &State{
-		self:     self,
 		random:   random,
 		services: make(map[lagoonstile.ServiceID]*service),
 		members:  make(map[lagoonstile.InstanceID]lagoonstile.Instance),
@@ -100,8 +99,9 @@
 // Audit returns the queue of events.
 func (s *State) Audit() *auditor.Queue { return &s.audit }
 
-// Self returns the instance's identity.
-func (s *State) Self() Identity { return s.self }
+// SetSelf settles who the instance is, once its listeners have addresses. It
+// must be called before any event.
+func (s *State) SetSelf(self Identity) { s.self = self }
 
 // SetLeaving notes that this instance is leaving.
 func (s *State) SetLeaving() { s.leaving = true }
@@ -215,28 +215,26 @@
 		ref := s.indexed[delta.Index]
 		service := s.services[ref.service]
 		service.detector.Observe(ref.server, delta.Origin, detector.Evidence{Good: delta.Good, Bad: delta.Bad})
-		service.heard[delta.Origin] = now
 	}
 }
 
 // PeerVersion returns the version that a peer last said.
 func (s *State) PeerVersion(id lagoonstile.InstanceID) lagoonstile.Version { return s.view.Version(id) }
 
+// Heard reports whether a peer was heard of lately.
+func (s *State) Heard(now time.Time, id lagoonstile.InstanceID) bool { return s.view.Heard(now, id) }
+
 // Peers returns the live peers.
 func (s *State) Peers(now time.Time) []*gossiper.Peer { return s.view.Alive(now) }
 
-// Own returns what this instance says of itself.
-func (s *State) Own(epoch uint64, load int) gossiper.Digest {
-	digest := gossiper.Digest{
-		Origin:        s.self.Instance,
-		Incarnation:   s.self.Incarnation,
-		Version:       s.Version(),
-		Epoch:         epoch,
-		Leaving:       s.leaving,
-		Load:          uint32(load),
-		CallerAddress: s.self.CallerAddress,
-		FailureDomain: s.self.FailureDomain,
-	}
+// Own fills in what this instance says of itself and of servers.
+func (s *State) Own(digest gossiper.Digest) gossiper.Digest {
+	digest.Origin = s.self.Instance
+	digest.Incarnation = s.self.Incarnation
+	digest.Version = s.Version()
+	digest.Leaving = s.leaving
+	digest.CallerAddress = s.self.CallerAddress
+	digest.FailureDomain = s.self.FailureDomain
 	for i, ref := range s.indexed {
 		report := s.services[ref.service].report(ref.server)
 		report.Index = gossiper.Index(i)
--- a/controller/service.go
+++ b/controller/service.go
@@ -25,8 +25,6 @@
 	firstSlow  = 2 * time.Second
 	// meanWeight is the weight of a tick's answers in the mean.
 	meanWeight = 0.1
-	// trafficSpan is how long an origin counts as having traffic.
-	trafficSpan = 10 * time.Second
 )
 
 // service is the control state of one service.
@@ -41,12 +39,8 @@
 	gate   *admitter.Gate
 	budget *retrier.Budget
 	// mean is the smoothed time of good answers; 0 before the first.
-	mean time.Duration
-	// heard says when each other origin last showed traffic.
-	heard map[lagoonstile.InstanceID]time.Time
-	// busyUntil is how long this instance counts as having traffic.
-	busyUntil time.Time
-	entry     *router.Entry
+	mean  time.Duration
+	entry *router.Entry
 }
 
 // server is the control state of one server.
@@ -62,7 +56,6 @@
 	return &service{
 		detector: detector.New(self),
 		servers:  make(map[lagoonstile.ServerID]*server),
-		heard:    make(map[lagoonstile.InstanceID]time.Time),
 	}
 }
 
@@ -143,14 +136,14 @@
 
 // tick reads counts and decides. It reports whether the entry changed.
 func (v *service) tick(now time.Time, self lagoonstile.InstanceID, notices map[lagoonstile.ServerID]ejector.Notice) (bool, []ejector.Change) {
-	v.observe(now, self)
-	findings := v.detector.Evaluate(now, v.rules.FalseEjectionsPerWeek, v.origins(now))
+	v.observe(self)
+	findings := v.detector.Evaluate(now, v.rules.FalseEjectionsPerWeek)
 	decisions, changes := v.ejector.Update(now, v.rules.MinServers(), findings, notices, v.detector.Forgive)
 	return v.rebuild(decisions), changes
 }
 
 // observe takes the counts since the last tick to the detector and limits.
-func (v *service) observe(now time.Time, self lagoonstile.InstanceID) {
+func (v *service) observe(self lagoonstile.InstanceID) {
 	var good uint64
 	var busy time.Duration
 	for _, server := range v.order {
@@ -161,7 +154,6 @@
 		if delta == (counter.Totals{}) {
 			continue
 		}
-		v.busyUntil = now.Add(trafficSpan)
 		good += delta.Good
 		busy += delta.Busy
 		v.detector.Observe(server.target.Server.ID, self, detector.Evidence{Good: delta.Good, Bad: delta.Bad + delta.Slow, Link: delta.Link})
@@ -179,22 +171,6 @@
 	v.mean += time.Duration(meanWeight * float64(mean-v.mean))
 }
 
-// origins returns how many instances show traffic of this service.
-func (v *service) origins(now time.Time) int {
-	n := 0
-	for id, at := range v.heard {
-		if now.Sub(at) > trafficSpan {
-			delete(v.heard, id)
-			continue
-		}
-		n++
-	}
-	if now.Before(v.busyUntil) {
-		n++
-	}
-	return n
-}
-
 // slowAfter returns the slow limit that the mean calls for, in steps of an
 // eighth, so that the table does not change with every answer.
 func (v *service) slowAfter() time.Duration {
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -30,7 +30,7 @@
 //
 // Answers (errors, truncated and slow ones) speak of the server. They are
 // merged over instances, and convict for all of them if two instances saw bad
-// ones, or if only one has traffic. Link failures speak of a path. They count
+// ones, or if only one has traffic to the server. Link failures speak of a path. They count
 // for the instance that saw them and for no other.
 package detector
 
@@ -76,6 +76,8 @@
 	// answers a second.
 	leastRate = 0.1
 	week      = 7 * 24 * time.Hour
+	// trafficSpan is how long an origin counts as having traffic.
+	trafficSpan = 10 * time.Second
 )
 
 // Service is the test over the servers of one service. It is not safe for
@@ -105,8 +107,11 @@
 	badOrigins map[Origin]bool
 	// long and short are averages over all answers ever, trials included.
 	long, short average
-	// pending is what came in since the last evaluation.
-	pending average
+	// pending is what came in since the last evaluation, and from whom.
+	pending        average
+	pendingOrigins map[Origin]bool
+	// lastSeen says when each origin last showed traffic to the server.
+	lastSeen map[Origin]time.Time
 }
 
 // excursion counts answers since the score was last zero.
@@ -147,7 +152,7 @@
 	for _, id := range ids {
 		next := s.servers[id]
 		if next == nil {
-			next = &server{id: id, badOrigins: make(map[Origin]bool)}
+			next = newServer(id)
 		}
 		kept[id] = next
 		s.order = append(s.order, next)
@@ -155,6 +160,15 @@
 	s.servers = kept
 }
 
+func newServer(id lagoonstile.ServerID) *server {
+	return &server{
+		id:             id,
+		badOrigins:     make(map[Origin]bool),
+		pendingOrigins: make(map[Origin]bool),
+		lastSeen:       make(map[Origin]time.Time),
+	}
+}
+
 // Observe adds evidence. Evidence of unknown servers is dropped.
 func (s *Service) Observe(id lagoonstile.ServerID, origin Origin, evidence Evidence) {
 	server := s.servers[id]
@@ -166,6 +180,7 @@
 	server.pending.total += good + bad
 	server.pending.bad += bad
 	server.streak += evidence.Good
+	server.pendingOrigins[origin] = true
 	if evidence.Bad > 0 {
 		server.badOrigins[origin] = true
 		server.streak = 0
@@ -190,9 +205,8 @@
 }
 
 // Evaluate brings the test up to now and returns a finding for each server, in
-// the order of SetServers. The number of origins with traffic tells whether
-// one origin's word is all there can be.
-func (s *Service) Evaluate(now time.Time, falseEjectionsPerWeek float64, originsWithTraffic int) []Finding {
+// the order of SetServers.
+func (s *Service) Evaluate(now time.Time, falseEjectionsPerWeek float64) []Finding {
 	s.age(now)
 	threshold := s.threshold(falseEjectionsPerWeek)
 	var totals sums
@@ -201,7 +215,7 @@
 	}
 	findings := make([]Finding, 0, len(s.order))
 	for _, server := range s.order {
-		findings = append(findings, server.find(totals.without(server).baseline(), threshold, originsWithTraffic))
+		findings = append(findings, server.find(totals.without(server).baseline(), threshold))
 	}
 	return findings
 }
@@ -223,6 +237,7 @@
 	for _, server := range s.order {
 		arrived += server.pending.total
 		server.age(elapsed)
+		server.see(now)
 	}
 	if elapsed <= 0 {
 		return
@@ -242,8 +257,21 @@
 	v.pending = average{}
 }
 
+// see keeps who has traffic to the server.
+func (v *server) see(now time.Time) {
+	for origin := range v.pendingOrigins {
+		v.lastSeen[origin] = now
+	}
+	clear(v.pendingOrigins)
+	for origin, at := range v.lastSeen {
+		if now.Sub(at) > trafficSpan {
+			delete(v.lastSeen, origin)
+		}
+	}
+}
+
 // find settles the excursions and tells what they show.
-func (v *server) find(baseline, threshold float64, originsWithTraffic int) Finding {
+func (v *server) find(baseline, threshold float64) Finding {
 	failing := math.Max(failingRate, (1+baseline)/2)
 	score := v.merged.settle(baseline, failing)
 	if score == 0 {
@@ -256,7 +284,7 @@
 		Server:       v.id,
 		Score:        score,
 		Threshold:    threshold,
-		Convicted:    score >= threshold && (origins >= 2 || originsWithTraffic <= 1),
+		Convicted:    score >= threshold && (origins >= 2 || len(v.lastSeen) <= 1),
 		Steer:        own >= threshold || link >= threshold,
 		Good:         int(v.merged.good),
 		Bad:          int(v.merged.bad),
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -49,8 +49,8 @@
 	})
 }
 
-// onClose adds something to be done at Close, before what was added earlier.
-func (a *Answer) onClose(f func()) { a.closes = append(a.closes, f) }
+// OnClose adds something to be done at Close, before what was added earlier.
+func (a *Answer) OnClose(f func()) { a.closes = append(a.closes, f) }
 
 // errUnbounded refuses an answer that only the end of the connection ends:
 // nobody can tell whether it is whole.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -36,6 +36,7 @@
 	"lagoonstile/admitter"
 	"lagoonstile/answerer"
 	"lagoonstile/picker"
+	"lagoonstile/quarantiner"
 	"lagoonstile/router"
 )
 
@@ -74,23 +75,12 @@
 
 // Suspects keeps requests that servers crash on from running freely.
 type Suspects interface {
-	// Enter reports how a request may run. Leave must be called with what
-	// became of it unless the request may not run at all.
-	Enter(req *Request) Admission
-	Leave(req *Request, server lagoonstile.ServerID, crashed bool)
+	Admit(print quarantiner.Print) quarantiner.Admission
+	// Crashed and Cleared tell how a try of the request ended.
+	Crashed(print quarantiner.Print)
+	Cleared(print quarantiner.Print)
 }
 
-// Admission says how a request may run.
-type Admission string
-
-// The admissions.
-const (
-	AdmitFreely Admission = "freely"
-	// AdmitAlone: on a server with nothing else of ours in flight.
-	AdmitAlone Admission = "alone"
-	AdmitNot   Admission = "not"
-)
-
 // Forwarder serves callers. Its fields must be set before the first request
 // and not be changed; those marked optional may be nil.
 type Forwarder struct {
@@ -157,12 +147,12 @@
 	if failure != nil {
 		return nil, failure
 	}
-	answer, failure := f.runAdmitted(ctx, req)
+	answer, failure := f.tryServers(ctx, req)
 	if failure != nil {
 		release()
 		return nil, failure
 	}
-	answer.onClose(release)
+	answer.OnClose(release)
 	return answer, nil
 }
 
@@ -185,18 +175,6 @@
 	}, nil
 }
 
-// runAdmitted asks whether the request is suspected before it is tried.
-func (f *Forwarder) runAdmitted(ctx context.Context, req *Request) (*Answer, *answerer.Failure) {
-	if f.Suspects == nil {
-		return f.tryServers(ctx, req)
-	}
-	req.admission = f.Suspects.Enter(req)
-	if req.admission == AdmitNot {
-		return nil, &answerer.Failure{Kind: answerer.KindQuarantined}
-	}
-	return f.tryServers(ctx, req)
-}
-
 // fail answers with a failure, logs it and counts it.
 func (f *Forwarder) fail(w http.ResponseWriter, req *Request, start time.Time, failure *answerer.Failure) {
 	failure.Write(w, req.ID)
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -15,6 +15,7 @@
 
 	"lagoonstile"
 	"lagoonstile/answerer"
+	"lagoonstile/quarantiner"
 	"lagoonstile/router"
 )
 
@@ -39,19 +40,17 @@
 	// Header holds end-to-end headers only.
 	Header http.Header
 	Body   []byte
-
-	admission Admission
 }
 
-// Fingerprint tells requests apart by what they ask for.
-func (r *Request) Fingerprint() uint64 {
+// Print tells requests apart by what they ask for, whoever asks.
+func (r *Request) Print() quarantiner.Print {
 	digest := xxhash.New()
 	for _, part := range []string{string(r.serviceID()), r.Method, r.URI} {
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
 	}
 	_, _ = digest.Write(r.Body)
-	return digest.Sum64()
+	return quarantiner.Print(digest.Sum64())
 }
 
 // serviceID returns the id of the request's service, or "" when it has none.
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"time"
 
 	"lagoonstile/answerer"
 	"lagoonstile/picker"
+	"lagoonstile/quarantiner"
 )
 
 // maxTries bounds the servers that one request is sent to.
@@ -14,6 +16,9 @@
 type run struct {
 	forwarder *Forwarder
 	req       *Request
+	print     quarantiner.Print
+	// admission says whether the request is suspected of crashing servers.
+	admission quarantiner.Admission
 	tried     []*picker.Target
 	// flying counts the tries without a result.
 	flying  int
@@ -33,9 +38,10 @@
 	r := &run{
 		forwarder: f,
 		req:       req,
-		results:   make(chan *trial, maxTries+1),
-		slow:      make(chan struct{}, maxTries+1),
+		results:   make(chan *trial, maxTries),
+		slow:      make(chan struct{}, maxTries),
 	}
+	r.admit()
 	answer, failure := r.loop(ctx)
 	if failure != nil {
 		cancel()
@@ -44,12 +50,24 @@
 	if answer.Whole() {
 		cancel()
 	} else {
-		answer.onClose(cancel)
+		answer.OnClose(cancel)
 	}
 	return answer, nil
 }
 
+// admit asks whether the request is suspected.
+func (r *run) admit() {
+	r.admission = quarantiner.Freely
+	if r.forwarder.Suspects != nil {
+		r.print = r.req.Print()
+		r.admission = r.forwarder.Suspects.Admit(r.print)
+	}
+}
+
 func (r *run) loop(ctx context.Context) (*Answer, *answerer.Failure) {
+	if r.admission == quarantiner.Not {
+		return nil, &answerer.Failure{Kind: answerer.KindQuarantined}
+	}
 	if !r.launch(ctx) {
 		return nil, &answerer.Failure{Kind: answerer.KindNoServer}
 	}
@@ -57,8 +75,12 @@
 		select {
 		case t := <-r.results:
 			r.flying--
-			if answer, done := r.take(ctx, t); done {
-				return answer, nil
+			if r.take(t) {
+				go r.discard(r.flying)
+				return t.answer, nil
+			}
+			if r.flying == 0 && ctx.Err() == nil && r.mayTryAgain(t) && r.launch(ctx) {
+				r.count(false)
 			}
 			if r.flying == 0 {
 				return r.giveUp()
@@ -70,49 +92,57 @@
 }
 
 // take handles the end of a try. It reports true when its answer is the one.
-func (r *run) take(ctx context.Context, t *trial) (*Answer, bool) {
-	r.leave(t)
+func (r *run) take(t *trial) bool {
+	r.settleSuspicion(t)
 	r.mayHaveRun = r.mayHaveRun || t.mayHaveRun
 	if !t.again() {
 		r.req.Entry.Budget.Success()
-		if r.last != nil && r.last.answer != nil {
-			r.last.answer.Close()
-		}
-		go r.discard(r.flying)
-		return t.answer, true
+		r.replaceLast(nil)
+		return true
+	}
+	// An answer with a bad status says more than none.
+	if t.answer != nil || r.last == nil || r.last.answer == nil {
+		r.replaceLast(t)
 	}
-	if r.last != nil && r.last.answer != nil && t.answer == nil {
-		// An answer with a bad status says more than none.
-		t = r.last
-	} else if r.last != nil && r.last.answer != nil {
+	return false
+}
+
+func (r *run) replaceLast(t *trial) {
+	if r.last != nil && r.last.answer != nil {
 		r.last.answer.Close()
 	}
 	r.last = t
-	if r.flying == 0 && ctx.Err() == nil && r.mayTryAgain(t) && r.launch(ctx) {
-		r.count(false)
+}
+
+// settleSuspicion tells the suspects' keeper how a try ended, and asks again
+// how the request may run.
+func (r *run) settleSuspicion(t *trial) {
+	switch {
+	case r.forwarder.Suspects == nil:
+	case t.crashed:
+		r.forwarder.Suspects.Crashed(r.print)
+		r.admit()
+	case r.admission == quarantiner.Alone && t.answer != nil:
+		r.forwarder.Suspects.Cleared(r.print)
 	}
-	return nil, false
 }
 
 // mayTryAgain keeps the rules of what may run twice and of the budget. A try
 // that sent nothing costs no server anything, so it is not paid for.
 func (r *run) mayTryAgain(t *trial) bool {
-	if len(r.tried) >= maxTries {
+	if len(r.tried) >= maxTries || r.admission == quarantiner.Not {
 		return false
 	}
 	if !r.req.Idempotent && r.mayHaveRun {
 		return false
 	}
-	if r.req.admission == AdmitAlone {
-		return false
-	}
 	unsent := t.answer == nil && !t.mayHaveRun && t.failure(false).Kind == answerer.KindNoServer
 	return unsent || r.req.Entry.Budget.Take()
 }
 
 // hedge sends a slow request to a second server as well.
 func (r *run) hedge(ctx context.Context) {
-	if !r.req.Idempotent || r.flying != 1 || len(r.tried) >= maxTries || r.req.admission == AdmitAlone {
+	if !r.req.Idempotent || r.flying != 1 || len(r.tried) >= maxTries || r.admission != quarantiner.Freely {
 		return
 	}
 	if r.req.Entry.Budget.Take() && r.launch(ctx) {
@@ -120,33 +150,87 @@
 	}
 }
 
-// launch starts a try on a server that has none yet.
+// launch starts a try on a server that has had none yet.
 func (r *run) launch(ctx context.Context) bool {
-	target := r.pick()
+	if r.admission == quarantiner.Alone {
+		return r.launchAlone(ctx)
+	}
+	target := r.forwarder.Picker.Pick(r.req.Entry.Pool, r.tried)
 	if target == nil {
 		return false
 	}
+	w := r.watch(target)
+	w.slow = func() { r.slow <- struct{}{} }
+	r.start(target, func() *trial { return r.forwarder.try(ctx, r.req, target, w) })
+	return true
+}
+
+func (r *run) watch(target *picker.Target) *watch {
+	return &watch{live: target.Live, after: r.req.Entry.SlowAfter}
+}
+
+func (r *run) start(target *picker.Target, try func() *trial) {
 	r.tried = append(r.tried, target)
 	r.flying++
-	go func() {
-		r.results <- r.forwarder.try(ctx, r.req, target, func() { r.slow <- struct{}{} })
-	}()
+	go func() { r.results <- try() }()
+}
+
+// launchAlone starts a try on a server that takes nothing else of ours
+// meanwhile, so that a suspected request can hurt no other.
+func (r *run) launchAlone(ctx context.Context) bool {
+	target := r.reserve()
+	if target == nil {
+		return false
+	}
+	w := r.watch(target)
+	w.mute = true
+	r.start(target, func() *trial {
+		if !awaitIdle(ctx, target) {
+			target.Live.Unreserve()
+			failure := &answerer.Failure{Kind: answerer.KindDeadline, Cause: ctx.Err()}
+			return &trial{target: target, err: failure}
+		}
+		t := r.forwarder.try(ctx, r.req, target, w)
+		if t.answer != nil && !t.answer.Whole() {
+			t.answer.OnClose(target.Live.Unreserve)
+		} else {
+			target.Live.Unreserve()
+		}
+		return t
+	})
 	return true
 }
 
-// pick chooses a server. A suspected request gets one with nothing else of
-// ours in flight, so that it can hurt no other.
-func (r *run) pick() *picker.Target {
-	pool := r.req.Entry.Pool
-	if r.req.admission != AdmitAlone {
-		return r.forwarder.Picker.Pick(pool, r.tried)
+// reserve takes the least loaded server that is not reserved yet.
+func (r *run) reserve() *picker.Target {
+	var best *picker.Target
+	for _, target := range r.req.Entry.Pool.Targets {
+		if target.Live.Reserved() || (best != nil && target.Load() >= best.Load()) {
+			continue
+		}
+		best = target
 	}
-	for _, target := range pool.Targets {
-		if target.Live.InFlight() == 0 {
-			return target
+	if best == nil || !best.Live.Reserve() {
+		return nil
+	}
+	return best
+}
+
+// idlePoll is how often a reserved server is looked at.
+const idlePoll = 5 * time.Millisecond
+
+// awaitIdle waits until nothing of ours is in flight at the server.
+func awaitIdle(ctx context.Context, target *picker.Target) bool {
+	ticker := time.NewTicker(idlePoll)
+	defer ticker.Stop()
+	for target.Live.InFlight() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return false
 		}
 	}
-	return nil
+	return true
 }
 
 // giveUp returns the best that there is after the last try.
@@ -154,21 +238,17 @@
 	if r.last.answer != nil {
 		return r.last.answer, nil
 	}
-	return nil, r.last.failure(r.mayHaveRun)
-}
-
-// leave tells the suspects' keeper how a try ended.
-func (r *run) leave(t *trial) {
-	if r.forwarder.Suspects != nil {
-		r.forwarder.Suspects.Leave(r.req, t.target.Server.ID, t.crashed)
+	if r.admission == quarantiner.Not {
+		return nil, &answerer.Failure{Kind: answerer.KindQuarantined, MayHaveRun: true, Cause: r.last.err}
 	}
+	return nil, r.last.failure(r.mayHaveRun)
 }
 
 // discard closes the answers of tries that are no longer wanted.
 func (r *run) discard(flying int) {
 	for range flying {
 		t := <-r.results
-		r.leave(t)
+		r.settleSuspicion(t)
 		if t.answer != nil {
 			t.answer.Close()
 		}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -12,6 +12,7 @@
 	"lagoonstile/answerer"
 	"lagoonstile/counter"
 	"lagoonstile/listener"
+	"lagoonstile/picker"
 )
 
 // copyBytes is the piece in which a streaming answer passes through.
@@ -122,14 +123,14 @@
 	rest.Header = req.Header.Clone()
 	rest.Header.Set("Range", fmt.Sprintf("bytes=%d-", sent))
 	rest.Header.Set("If-Range", answer.Header.Get("Etag"))
-	r := &run{forwarder: f, req: &rest}
-	r.tried = append(r.tried, answer.target)
-	target := r.pick()
+	target := f.Picker.Pick(req.Entry.Pool, []*picker.Target{answer.target})
 	if target == nil {
 		return 0, errors.New("no other server to resume at")
 	}
-	r.count(false)
-	t := f.try(ctx, &rest, target, nil)
+	if f.Recorder != nil {
+		f.Recorder.Retry(req.serviceID(), false)
+	}
+	t := f.try(ctx, &rest, target, &watch{live: target.Live, after: req.Entry.SlowAfter})
 	if t.err != nil {
 		return 0, t.err
 	}
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -46,11 +46,10 @@
 }
 
 // try sends the request to one server and waits for a whole or streaming
-// answer. The slow function is called once if that takes longer than the
-// service's slow limit.
-func (f *Forwarder) try(ctx context.Context, req *Request, target *picker.Target, slow func()) *trial {
+// answer. The watch says what that showed about the server.
+func (f *Forwarder) try(ctx context.Context, req *Request, target *picker.Target, watch *watch) *trial {
 	ctx, cancel := context.WithCancel(ctx)
-	watch := newWatch(target.Live, req, slow)
+	watch.begin()
 	target.Live.Begin()
 	end := func() {
 		watch.stop()
@@ -85,14 +84,14 @@
 		end()
 		return &trial{target: target, mayHaveRun: true, err: &answerer.Failure{Kind: answerer.KindTruncated, Cause: err}}
 	}
-	watch.settle(statusResult(req, res.StatusCode))
+	watch.settle(statusResult(res.StatusCode))
 	if answer.Whole() {
 		_ = res.Body.Close()
 		end()
 		return &trial{target: target, answer: answer, mayHaveRun: true}
 	}
-	answer.onClose(end)
-	answer.onClose(func() { _ = res.Body.Close() })
+	answer.OnClose(end)
+	answer.OnClose(func() { _ = res.Body.Close() })
 	return &trial{target: target, answer: answer, mayHaveRun: true}
 }
 
@@ -145,17 +144,11 @@
 	if ctx.Err() != nil && (time.Now().Before(req.Deadline) || !t.mayHaveRun) {
 		return counter.ResultNone
 	}
-	if req.admission == AdmitAlone {
-		return counter.ResultNone
-	}
 	return counter.ResultLink
 }
 
 // statusResult says what a status shows about its server.
-func statusResult(req *Request, status int) counter.Result {
-	if req.admission == AdmitAlone {
-		return counter.ResultNone
-	}
+func statusResult(status int) counter.Result {
 	if status >= http.StatusInternalServerError && status != http.StatusNotImplemented {
 		return counter.ResultBad
 	}
@@ -174,7 +167,15 @@
 // watch reports one result of a try to its server's counts: the first one. A
 // try that became slow counts as that and not again when it ends.
 type watch struct {
-	live  *counter.Server
+	live *counter.Server
+	// after is the slow limit. The slow function is called when it passes; it
+	// may be nil.
+	after time.Duration
+	slow  func()
+	// mute keeps what a suspected request shows from being held against the
+	// server.
+	mute bool
+
 	start time.Time
 	timer *time.Timer
 
@@ -182,17 +183,14 @@
 	settled bool
 }
 
-func newWatch(live *counter.Server, req *Request, slow func()) *watch {
-	w := &watch{live: live, start: time.Now()}
-	w.timer = time.AfterFunc(req.Entry.SlowAfter, func() {
-		if req.admission != AdmitAlone {
-			w.settle(counter.ResultSlow)
-		}
-		if slow != nil {
-			slow()
+func (w *watch) begin() {
+	w.start = time.Now()
+	w.timer = time.AfterFunc(w.after, func() {
+		w.settle(counter.ResultSlow)
+		if w.slow != nil {
+			w.slow()
 		}
 	})
-	return w
 }
 
 func (w *watch) settle(result counter.Result) {
@@ -202,7 +200,9 @@
 		return
 	}
 	w.settled = true
-	w.live.Observe(result, time.Since(w.start))
+	if !w.mute {
+		w.live.Observe(result, time.Since(w.start))
+	}
 }
 
 func (w *watch) stop() { w.timer.Stop() }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -46,14 +46,14 @@
 	Leaving bool   `cbor:"5,keyasint,omitempty"`
 	// Load is the requests in flight at the origin, over all services.
 	Load uint32 `cbor:"6,keyasint,omitempty"`
-	// Successor names the instance that has taken over the origin's keys.
-	Successor lagoonstile.InstanceID `cbor:"7,keyasint,omitempty"`
+	// Homes lists the incarnations whose order keys the origin has taken over.
+	Homes []string `cbor:"7,keyasint,omitempty"`
 	// CallerAddress and FailureDomain are those of the origin.
 	CallerAddress string                    `cbor:"8,keyasint,omitempty"`
 	FailureDomain lagoonstile.FailureDomain `cbor:"9,keyasint,omitempty"`
 	// Quarantined lists fingerprints of requests that must not run.
 	Quarantined []uint64 `cbor:"10,keyasint,omitempty"`
-	// Crashes lists what the origin saw requests crash lately.
+	// Crashes lists the requests that the origin lately saw servers crash on.
 	Crashes []Crash  `cbor:"11,keyasint,omitempty"`
 	Reports []Report `cbor:"12,keyasint,omitempty"`
 	// Poor lists services, by their place in the sorted configuration, of which
@@ -61,10 +61,10 @@
 	Poor []uint32 `cbor:"13,keyasint,omitempty"`
 }
 
-// Crash tells that a server crashed while a request was in flight at it.
+// Crash counts the servers that crashed while a request was in flight at them.
 type Crash struct {
-	Fingerprint uint64 `cbor:"1,keyasint"`
-	Index       Index  `cbor:"2,keyasint"`
+	Print uint64 `cbor:"1,keyasint"`
+	Count uint32 `cbor:"2,keyasint"`
 }
 
 // Timing of the exchange.
@@ -81,6 +81,7 @@
 type Sender struct {
 	told     map[Index]Report
 	version  lagoonstile.Version
+	leaving  bool
 	lastFull time.Time
 	last     time.Time
 }
@@ -95,7 +96,8 @@
 		s.told = make(map[Index]Report)
 		s.version = whole.Version
 	}
-	due := now.Sub(s.lastFull) >= LoadInterval
+	due := now.Sub(s.lastFull) >= LoadInterval || s.leaving != whole.Leaving
+	s.leaving = whole.Leaving
 	next := whole
 	next.Reports = nil
 	if peerVersion == whole.Version {
@@ -202,6 +204,12 @@
 	return alive
 }
 
+// Heard reports whether a peer was heard of lately.
+func (v *View) Heard(now time.Time, id lagoonstile.InstanceID) bool {
+	peer := v.peers[id]
+	return peer != nil && now.Sub(peer.Heard) <= PeerTimeout
+}
+
 // Version returns the version that a peer last said, or 0.
 func (v *View) Version(id lagoonstile.InstanceID) lagoonstile.Version {
 	if peer := v.peers[id]; peer != nil {
--- a/runner/control.go
+++ b/runner/control.go
@@ -66,7 +66,9 @@
 		case do := <-i.control.commands:
 			do(time.Now(), state)
 		case <-ticker.C:
-			state.Tick(time.Now())
+			now := time.Now()
+			state.Tick(now)
+			i.cell.Store(state.Cell(now))
 		}
 		i.publish(state)
 	}
--- a/runner/handlers.go
+++ b/runner/handlers.go
@@ -58,15 +58,15 @@
 }
 
 // candidates lists the instances that an entry answer may name.
-func (i *Instance) candidates(_ lagoonstile.ServiceID) []locator.Candidate {
+func (i *Instance) candidates(service lagoonstile.ServiceID) []locator.Candidate {
 	running, waiting := i.gate.Load()
-	return []locator.Candidate{{
-		Home:          lagoonstile.Home{Instance: i.self.Instance, Incarnation: i.self.Incarnation, Epoch: 1},
+	return append(i.cell.Load().Candidates(service), locator.Candidate{
+		Home:          i.dispatcher.Home(),
 		Address:       i.CallerAddress(),
 		FailureDomain: i.self.FailureDomain,
 		Load:          running + waiting,
 		Leaving:       i.hidden.Load(),
-	}}
+	})
 }
 
 // Status is what an instance tells operators of itself.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -19,7 +19,10 @@
 	"lagoonstile/admitter"
 	"lagoonstile/connector"
 	"lagoonstile/controller"
+	"lagoonstile/deduplicator"
+	"lagoonstile/dispatcher"
 	"lagoonstile/forwarder"
+	"lagoonstile/linker"
 	"lagoonstile/listener"
 	"lagoonstile/loader"
 	"lagoonstile/picker"
@@ -28,6 +31,15 @@
 	"lagoonstile/scheduler"
 )
 
+// Bounds of the order tables.
+const (
+	// keptBytes bounds the answers kept for resends.
+	keptBytes = 16 << 20
+	// epochLength is how long new keys name the same epoch. A key is good for
+	// one to two of them.
+	epochLength = 10 * time.Minute
+)
+
 // Instance is one running instance.
 type Instance struct {
 	settings loader.Settings
@@ -46,6 +58,11 @@
 	callers *listener.Listener
 	admin   *listener.Listener
 
+	cell       atomic.Pointer[controller.Cell]
+	peers      *peers
+	dispatcher *dispatcher.Dispatcher
+	suspects   *suspects
+
 	cancel context.CancelFunc
 	loops  sync.WaitGroup
 	// hidden says that entry answers no longer name this instance.
@@ -68,13 +85,17 @@
 
 		drainRequested: make(chan struct{}),
 	}
+	i.suspects = &suspects{instance: i}
+	i.peers = &peers{instance: i, senders: make(map[lagoonstile.InstanceID]*peerSender)}
 	i.forwarder = &forwarder.Forwarder{
 		Table:    i.table.Load,
 		Instance: i.gate,
 		Picker:   &picker.TwoChoices{},
+		Suspects: i.suspects,
 		Recorder: i.recorder,
 		Log:      i.log,
 	}
+	i.cell.Store(&controller.Cell{})
 	if err := i.listen(); err != nil {
 		return nil, err
 	}
@@ -85,32 +106,40 @@
 	return i, nil
 }
 
-// listen opens the listeners and with them settles who this instance is.
+// listen settles who this instance is and opens the listeners, that for callers
+// last: with the first caller everything must be there.
 func (i *Instance) listen() error {
-	callers, err := listener.Listen(i.settings.Callers, i.settings.Limits, i.callerHandler())
-	if err != nil {
-		return fmt.Errorf("callers: %w", err)
-	}
-	admin, err := listener.Listen(i.settings.Admin, i.settings.Limits, i.adminHandler())
-	if err != nil {
-		callers.Close()
-		return fmt.Errorf("admin: %w", err)
-	}
-	i.callers = callers
-	i.admin = admin
 	i.self = controller.Identity{
 		Instance:      i.settings.Instance,
 		Incarnation:   lagoonstile.Incarnation(uuid.NewString()[:8]),
 		FailureDomain: i.settings.FailureDomain,
-		CallerAddress: callers.Address(),
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	i.control = newControl(controller.New(i.self, random))
+	i.control = newControl(controller.New(random))
+	limits := deduplicator.Limits{Keys: i.settings.KeyTable, KeptBytes: keptBytes, Epoch: epochLength}
+	i.dispatcher = dispatcher.New(time.Now(), i.self.Instance, i.self.Incarnation, limits, i.forwarder.Run, orders{i.peers})
+	i.forwarder.Orders = i.dispatcher
+	var err error
+	if i.peers.linker, err = linker.Listen(i.settings.Peers, i.self.Instance, i.self.Incarnation, i.peers, i.log); err != nil {
+		return fmt.Errorf("peers: %w", err)
+	}
+	if i.admin, err = listener.Listen(i.settings.Admin, i.settings.Limits, i.adminHandler()); err != nil {
+		i.peers.linker.Close()
+		return fmt.Errorf("admin: %w", err)
+	}
+	if i.callers, err = listener.Listen(i.settings.Callers, i.settings.Limits, i.callerHandler()); err != nil {
+		i.peers.linker.Close()
+		i.admin.Close()
+		return fmt.Errorf("callers: %w", err)
+	}
+	i.self.CallerAddress = i.callers.Address()
+	i.self.PeerAddress = i.peers.linker.Address()
+	i.control.state.SetSelf(i.self)
 	return nil
 }
 
 func (i *Instance) startLoops(ctx context.Context) {
-	for _, loop := range []func(context.Context){i.runControl, i.readLog, i.readInstances, i.writeAudit} {
+	for _, loop := range []func(context.Context){i.runControl, i.readLog, i.readInstances, i.writeAudit, i.peers.gossip} {
 		i.loops.Add(1)
 		go func() {
 			defer i.loops.Done()
@@ -132,6 +161,7 @@
 func (i *Instance) Stop() {
 	i.cancel()
 	i.callers.Close()
+	i.peers.linker.Close()
 	i.admin.Close()
 	i.forwarder.Close()
 	i.loops.Wait()
