Make every instance of a cell eject a failing server, not only the first

Cause, in three parts, each found in the audit trail of a demo that took 5 s and more: (1) a digest without reports was taken as the start of counting, so the next one brought a server's whole history as fresh good answers; (2) indexes of servers changed with every version, which made all counting start anew at each publication; (3) the first instance to convict stops the bad answers, and the others, whose evidence came in lumps of good and bad, stayed just under the threshold.

Change: reports are keyed by a hash that no version changes and counting starts at digests marked full; one origin convicts unless five good answers of others contradict it; an instance follows a peer's ejection at half the threshold when its own evidence is corroborated.

--- a/controller/cell.go
+++ b/controller/cell.go
@@ -1,9 +1,11 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"lagoonstile"
+	"lagoonstile/gossiper"
 	"lagoonstile/locator"
 )
 
@@ -18,7 +20,7 @@
 
 type cellPeer struct {
 	candidate locator.Candidate
-	poor      map[lagoonstile.ServiceID]bool
+	poor      []gossiper.Key
 }
 
 // Cell returns the live peers as of now.
@@ -35,12 +37,7 @@
 				Load:          int(digest.Load),
 				Leaving:       digest.Leaving || s.members[digest.Origin].State == lagoonstile.InstanceLeaving,
 			},
-			poor: make(map[lagoonstile.ServiceID]bool),
-		}
-		for _, index := range digest.Poor {
-			if digest.Version == s.Version() && int(index) < len(s.order) {
-				next.poor[s.order[index].rules.ID] = true
-			}
+			poor: digest.Poor,
 		}
 		cell.peers = append(cell.peers, next)
 		cell.owners[string(digest.Origin)+"."+string(digest.Incarnation)] = digest.Origin
@@ -68,9 +65,10 @@
 // Candidates returns the peers that an entry answer for the service may name.
 func (c *Cell) Candidates(service lagoonstile.ServiceID) []locator.Candidate {
 	out := make([]locator.Candidate, 0, len(c.peers)+1)
+	key := gossiper.ServiceKey(service)
 	for _, peer := range c.peers {
 		candidate := peer.candidate
-		candidate.Poor = peer.poor[service]
+		candidate.Poor = slices.Contains(peer.poor, key)
 		out = append(out, candidate)
 	}
 	return out
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -52,12 +52,11 @@
 	renewAt time.Time
 
 	services map[lagoonstile.ServiceID]*service
-	// order lists the services by id. indexed lists all servers in the order
-	// that gossiper.Index counts.
-	order   []*service
-	indexed []serverRef
-	// indexes is the inverse of indexed.
-	indexes map[serverRef]gossiper.Index
+	// order lists the services by id.
+	order []*service
+	// byKey finds a server by its key. Servers whose keys are equal are not in
+	// it: nothing is told of them, and nothing heard.
+	byKey map[gossiper.Key]serverRef
 
 	view      gossiper.View
 	members   map[lagoonstile.InstanceID]lagoonstile.Instance
@@ -209,12 +208,12 @@
 		return
 	}
 	for _, delta := range s.view.Merge(now, digest) {
-		if digest.Version != s.Version() || int(delta.Index) >= len(s.indexed) {
+		ref, ok := s.byKey[delta.Key]
+		if !ok {
 			continue
 		}
-		ref := s.indexed[delta.Index]
-		service := s.services[ref.service]
-		service.detector.Observe(ref.server, delta.Origin, detector.Evidence{Good: delta.Good, Bad: delta.Bad})
+		evidence := detector.Evidence{Good: delta.Good, Bad: delta.Bad}
+		s.services[ref.service].detector.Observe(ref.server, delta.Origin, evidence)
 	}
 }
 
@@ -235,16 +234,15 @@
 	digest.Leaving = s.leaving
 	digest.CallerAddress = s.self.CallerAddress
 	digest.FailureDomain = s.self.FailureDomain
-	for i, ref := range s.indexed {
-		report := s.services[ref.service].report(ref.server)
-		report.Index = gossiper.Index(i)
-		if report != (gossiper.Report{Index: report.Index}) {
-			digest.Reports = append(digest.Reports, report)
+	for _, service := range s.order {
+		for _, server := range service.order {
+			report := server.report()
+			if s.byKey[server.key] != (serverRef{}) && report != (gossiper.Report{Key: server.key}) {
+				digest.Reports = append(digest.Reports, report)
+			}
 		}
-	}
-	for i, service := range s.order {
 		if service.poor() {
-			digest.Poor = append(digest.Poor, uint32(i))
+			digest.Poor = append(digest.Poor, gossiper.ServiceKey(service.rules.ID))
 		}
 	}
 	return digest
@@ -252,7 +250,7 @@
 
 // Tick reads the counts of traffic and decides anew.
 func (s *State) Tick(now time.Time) {
-	around := s.view.Around(now, s.Version())
+	around := s.view.Around(now)
 	for _, service := range s.order {
 		if s.tickService(now, service, around) {
 			s.dirty = true
@@ -263,10 +261,10 @@
 	}
 }
 
-func (s *State) tickService(now time.Time, service *service, around map[gossiper.Index]gossiper.Around) bool {
+func (s *State) tickService(now time.Time, service *service, around map[gossiper.Key]gossiper.Around) bool {
 	notices := make(map[lagoonstile.ServerID]ejector.Notice)
 	for _, server := range service.order {
-		peers := around[s.indexes[serverRef{service.rules.ID, server.target.Server.ID}]]
+		peers := around[server.key]
 		notices[server.target.Server.ID] = ejector.Notice{
 			Draining:    server.target.Live.Draining() || peers.Draining,
 			PeerEjected: peers.Ejected,
@@ -306,8 +304,8 @@
 func (s *State) reconcile(now time.Time, cfg lagoonstile.Configuration) {
 	kept := make(map[lagoonstile.ServiceID]*service, len(cfg.Services))
 	s.order = s.order[:0]
-	s.indexed = s.indexed[:0]
-	s.indexes = make(map[serverRef]gossiper.Index)
+	s.byKey = make(map[gossiper.Key]serverRef)
+	equal := make(map[gossiper.Key]bool)
 	for _, id := range cfg.IDs() {
 		next := s.services[id]
 		if next == nil {
@@ -317,9 +315,13 @@
 		kept[id] = next
 		s.order = append(s.order, next)
 		for _, server := range next.order {
-			ref := serverRef{id, server.target.Server.ID}
-			s.indexes[ref] = gossiper.Index(len(s.indexed))
-			s.indexed = append(s.indexed, ref)
+			equal[server.key] = equal[server.key] || s.byKey[server.key] != (serverRef{})
+			s.byKey[server.key] = serverRef{id, server.target.Server.ID}
+		}
+	}
+	for key, is := range equal {
+		if is {
+			delete(s.byKey, key)
 		}
 	}
 	s.services = kept
--- a/controller/service.go
+++ b/controller/service.go
@@ -45,6 +45,7 @@
 
 // server is the control state of one server.
 type server struct {
+	key gossiper.Key
 	// target is what traffic sees; it is replaced, never modified.
 	target *picker.Target
 	limit  *limiter.Limit
@@ -73,7 +74,7 @@
 	for _, config := range rules.Servers {
 		next := v.servers[config.ID]
 		if next == nil || next.target.Server != config {
-			next = newServer(config)
+			next = newServer(rules.ID, config)
 		}
 		kept[config.ID] = next
 		ids = append(ids, config.ID)
@@ -106,9 +107,10 @@
 	}
 }
 
-func newServer(config lagoonstile.Server) *server {
+func newServer(service lagoonstile.ServiceID, config lagoonstile.Server) *server {
 	limit := limiter.New(config.Slots)
 	return &server{
+		key:    gossiper.ServerKey(service, config),
 		target: &picker.Target{Server: config, Live: &counter.Server{}, Weight: 1, Limit: limit.Value()},
 		limit:  limit,
 		state:  ejector.StateInUse,
@@ -266,14 +268,14 @@
 	return 2*n < len(v.order)
 }
 
-// report returns what this instance tells peers of a server.
-func (v *service) report(id lagoonstile.ServerID) gossiper.Report {
-	server := v.servers[id]
+// report returns what this instance tells peers of the server.
+func (s *server) report() gossiper.Report {
 	return gossiper.Report{
-		Good:     server.past.Good,
-		Bad:      server.past.Bad + server.past.Slow,
-		InFlight: uint32(max(server.target.Live.InFlight(), 0)),
-		Draining: server.target.Live.Draining(),
-		Ejected:  server.state == ejector.StateEjected,
+		Key:      s.key,
+		Good:     s.past.Good,
+		Bad:      s.past.Bad + s.past.Slow,
+		InFlight: uint32(max(s.target.Live.InFlight(), 0)),
+		Draining: s.target.Live.Draining(),
+		Ejected:  s.state == ejector.StateEjected,
 	}
 }
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -30,7 +30,7 @@
 //
 // Answers (errors, truncated and slow ones) speak of the server. They are
 // merged over instances, and convict for all of them if two instances saw bad
-// ones, or if only one has traffic to the server. Link failures speak of a path. They count
+// ones, or if one did and the good answers of the others do not contradict it. Link failures speak of a path. They count
 // for the instance that saw them and for no other.
 package detector
 
@@ -76,8 +76,10 @@
 	// answers a second.
 	leastRate = 0.1
 	week      = 7 * 24 * time.Hour
-	// trafficSpan is how long an origin counts as having traffic.
-	trafficSpan = 10 * time.Second
+	// contradiction is how many good answers of the other origins outweigh the
+	// word of a single one. A server that fails half of its work gives as many
+	// to an unlucky one in 32 only.
+	contradiction = 5
 )
 
 // Service is the test over the servers of one service. It is not safe for
@@ -103,15 +105,12 @@
 	link        excursion
 	// streak counts good answers since the last bad one or Forgive.
 	streak uint64
-	// badOrigins are the origins of the bad answers in merged.
-	badOrigins map[Origin]bool
+	// origins splits merged by origin.
+	origins map[Origin]excursion
 	// long and short are averages over all answers ever, trials included.
 	long, short average
-	// pending is what came in since the last evaluation, and from whom.
-	pending        average
-	pendingOrigins map[Origin]bool
-	// lastSeen says when each origin last showed traffic to the server.
-	lastSeen map[Origin]time.Time
+	// pending is what came in since the last evaluation.
+	pending average
 }
 
 // excursion counts answers since the score was last zero.
@@ -128,7 +127,11 @@
 	// Convicted says that the server fails for everybody, Steer that this
 	// instance should go around it.
 	Convicted, Steer bool
-	// Good, Bad and Origins are the evidence of the current excursion.
+	// Corroborated says that the evidence is not one origin's against the
+	// others'.
+	Corroborated bool
+	// Good and Bad are the evidence of the current excursion, and Origins the
+	// number of instances that saw bad answers in it.
 	Good, Bad, Origins int
 	// Streak counts good answers since the last bad one or Forgive.
 	Streak int
@@ -152,7 +155,7 @@
 	for _, id := range ids {
 		next := s.servers[id]
 		if next == nil {
-			next = newServer(id)
+			next = &server{id: id, origins: make(map[Origin]excursion)}
 		}
 		kept[id] = next
 		s.order = append(s.order, next)
@@ -160,15 +163,6 @@
 	s.servers = kept
 }
 
-func newServer(id lagoonstile.ServerID) *server {
-	return &server{
-		id:             id,
-		badOrigins:     make(map[Origin]bool),
-		pendingOrigins: make(map[Origin]bool),
-		lastSeen:       make(map[Origin]time.Time),
-	}
-}
-
 // Observe adds evidence. Evidence of unknown servers is dropped.
 func (s *Service) Observe(id lagoonstile.ServerID, origin Origin, evidence Evidence) {
 	server := s.servers[id]
@@ -180,11 +174,12 @@
 	server.pending.total += good + bad
 	server.pending.bad += bad
 	server.streak += evidence.Good
-	server.pendingOrigins[origin] = true
 	if evidence.Bad > 0 {
-		server.badOrigins[origin] = true
 		server.streak = 0
 	}
+	from := server.origins[origin]
+	from.add(good, bad)
+	server.origins[origin] = from
 	if origin == s.self {
 		server.own.add(good, bad)
 		server.link.add(good+bad, float64(evidence.Link))
@@ -201,7 +196,7 @@
 	server.own = excursion{}
 	server.link = excursion{}
 	server.streak = 0
-	server.badOrigins = make(map[Origin]bool)
+	clear(server.origins)
 }
 
 // Evaluate brings the test up to now and returns a finding for each server, in
@@ -237,7 +232,6 @@
 	for _, server := range s.order {
 		arrived += server.pending.total
 		server.age(elapsed)
-		server.see(now)
 	}
 	if elapsed <= 0 {
 		return
@@ -257,38 +251,27 @@
 	v.pending = average{}
 }
 
-// see keeps who has traffic to the server.
-func (v *server) see(now time.Time) {
-	for origin := range v.pendingOrigins {
-		v.lastSeen[origin] = now
-	}
-	clear(v.pendingOrigins)
-	for origin, at := range v.lastSeen {
-		if now.Sub(at) > trafficSpan {
-			delete(v.lastSeen, origin)
-		}
-	}
-}
-
 // find settles the excursions and tells what they show.
 func (v *server) find(baseline, threshold float64) Finding {
 	failing := math.Max(failingRate, (1+baseline)/2)
 	score := v.merged.settle(baseline, failing)
 	if score == 0 {
-		clear(v.badOrigins)
+		clear(v.origins)
 	}
+	accusers, contradicting := v.sides()
+	corroborated := accusers >= 2 || (accusers == 1 && contradicting < contradiction)
 	own := v.own.settle(baseline, failing)
 	link := v.link.settle(linkBaseline, linkFailing)
-	origins := len(v.badOrigins)
 	return Finding{
 		Server:       v.id,
 		Score:        score,
 		Threshold:    threshold,
-		Convicted:    score >= threshold && (origins >= 2 || len(v.lastSeen) <= 1),
+		Convicted:    score >= threshold && corroborated,
+		Corroborated: corroborated,
 		Steer:        own >= threshold || link >= threshold,
 		Good:         int(v.merged.good),
 		Bad:          int(v.merged.bad),
-		Origins:      origins,
+		Origins:      accusers,
 		Streak:       int(v.streak),
 		BadShare:     v.short.share(),
 		Baseline:     baseline,
@@ -296,6 +279,19 @@
 	}
 }
 
+// sides returns how many origins saw bad answers, and how many good ones the
+// others saw.
+func (v *server) sides() (accusers int, contradicting float64) {
+	for _, from := range v.origins {
+		if from.bad > 0 {
+			accusers++
+		} else {
+			contradicting += from.good
+		}
+	}
+	return accusers, contradicting
+}
+
 func (e *excursion) add(good, bad float64) {
 	e.good += good
 	e.bad += bad
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -7,6 +7,12 @@
 // stays in use with less weight: some bad answers are better than a service
 // with too few servers.
 //
+// An instance follows a peer that ejected a server when its own evidence, put
+// together in another order, falls short of the threshold by less than half.
+// The peer kept the full threshold, so following adds no false ejections of its
+// own; and without it the last instances would wait for bad answers that the
+// first one no longer causes.
+//
 // An ejected server comes back by trial: after a back-off it gets a little
 // traffic, and good answers raise its weight step by step, while a new
 // conviction sends it away for twice as long. The back-off remembers, so a
@@ -57,6 +63,9 @@
 	heldWeight  = 0.05
 	// trialGood is how many good answers in a row end a trial.
 	trialGood = 5
+	// followScore is the share of the threshold that suffices once a peer has
+	// ejected the server.
+	followScore = 0.5
 	// trialScore is the share of the threshold that ends a trial the other way.
 	trialScore = 0.4
 	// leavingFor is how long a notice of leaving holds. A server that leaves
@@ -170,6 +179,14 @@
 	return 0
 }
 
+// convicted reports whether the server is to be ejected.
+func (v *server) convicted() bool {
+	if v.finding.Convicted {
+		return true
+	}
+	return v.notice.PeerEjected && v.finding.Corroborated && v.finding.Score >= followScore*v.finding.Threshold
+}
+
 // away reports whether the server gets no traffic of this instance.
 func (v *server) away() bool {
 	return v.state == StateEjected || v.state == StateSteered || v.state == StateLeaving
@@ -261,7 +278,7 @@
 		if v.away() || v.state == StateTrial {
 			continue
 		}
-		if v.finding.Convicted || v.finding.Steer {
+		if v.convicted() || v.finding.Steer {
 			convicted = append(convicted, v)
 		} else if v.state == StateHeld {
 			u.move(v, StateWarming)
@@ -274,7 +291,7 @@
 			if v.state != StateHeld {
 				u.move(v, StateHeld)
 			}
-		case v.finding.Convicted:
+		case v.convicted():
 			u.sendAway(v)
 		default:
 			u.steerAway(v)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -7,9 +7,9 @@
 // the latest one of an origin is all there is to know of it. A state that is
 // not renewed ages out in seconds. Nothing that must hold depends on any of it.
 //
-// Servers and services are named by their index in the sorted configuration of
-// a version, which keeps a digest small. Instances with different versions
-// exchange versions only, and the rest once they agree.
+// Servers and services are named by a hash of their ids, which keeps a digest
+// small and does not change with the version in force. An instance leaves out
+// the few servers of its configuration whose hashes are equal.
 package gossiper
 
 import (
@@ -17,16 +17,35 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"lagoonstile"
 )
 
-// Index is the place of a server in the list of all servers of a
-// configuration, by service and then by server id.
-type Index uint32
+// Key names a server or a service.
+type Key uint32
+
+// ServerKey returns the key of a server. A server that moves to another address
+// is another one.
+func ServerKey(service lagoonstile.ServiceID, server lagoonstile.Server) Key {
+	return key(string(service), string(server.ID), server.Address)
+}
+
+// ServiceKey returns the key of a service.
+func ServiceKey(service lagoonstile.ServiceID) Key { return key(string(service)) }
+
+func key(parts ...string) Key {
+	digest := xxhash.New()
+	for _, part := range parts {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	return Key(digest.Sum64())
+}
 
 // Report is what an origin knows of one server since it started.
 type Report struct {
-	Index Index `cbor:"1,keyasint"`
+	Key Key `cbor:"1,keyasint"`
 	// Good and Bad count answers.
 	Good uint64 `cbor:"2,keyasint,omitempty"`
 	Bad  uint64 `cbor:"3,keyasint,omitempty"`
@@ -56,9 +75,11 @@
 	// Crashes lists the requests that the origin lately saw servers crash on.
 	Crashes []Crash  `cbor:"11,keyasint,omitempty"`
 	Reports []Report `cbor:"12,keyasint,omitempty"`
-	// Poor lists services, by their place in the sorted configuration, of which
-	// the origin reaches less than half of the servers.
-	Poor []uint32 `cbor:"13,keyasint,omitempty"`
+	// Full says that Reports has every server with counts.
+	Full bool `cbor:"14,keyasint,omitempty"`
+	// Poor lists the services of which the origin reaches less than half of the
+	// servers.
+	Poor []Key `cbor:"13,keyasint,omitempty"`
 }
 
 // Crash counts the servers that crashed while a request was in flight at them.
@@ -77,41 +98,38 @@
 	PeerTimeout = 3 * time.Second
 )
 
-// Sender works out what one peer must be told. The zero value has told nothing.
+// Sender works out what must be said on one link to a peer. The zero value has
+// said nothing; each new connection wants a new one.
 type Sender struct {
-	told     map[Index]Report
-	version  lagoonstile.Version
+	told     map[Key]Report
 	leaving  bool
 	lastFull time.Time
 	last     time.Time
 }
 
 // Next returns the digest for the peer out of this instance's whole state, and
-// false when nothing is due. The peer's version is the one it last said.
-func (s *Sender) Next(now time.Time, whole Digest, peerVersion lagoonstile.Version) (Digest, bool) {
+// false when nothing is due.
+func (s *Sender) Next(now time.Time, whole Digest) (Digest, bool) {
 	if !s.last.IsZero() && now.Sub(s.last) < UrgentInterval {
 		return Digest{}, false
 	}
-	if s.version != whole.Version || peerVersion != whole.Version || s.told == nil {
-		s.told = make(map[Index]Report)
-		s.version = whole.Version
-	}
 	due := now.Sub(s.lastFull) >= LoadInterval || s.leaving != whole.Leaving
-	s.leaving = whole.Leaving
 	next := whole
-	next.Reports = nil
-	if peerVersion == whole.Version {
-		next.Reports = s.changed(whole.Reports, due)
+	next.Full = s.told == nil
+	if next.Full {
+		s.told = make(map[Key]Report)
 	}
+	next.Reports = s.changed(whole.Reports, due)
 	if !due && len(next.Reports) == 0 {
 		return Digest{}, false
 	}
 	s.last = now
+	s.leaving = whole.Leaving
 	if due {
 		s.lastFull = now
 	}
 	for _, report := range next.Reports {
-		s.told[report.Index] = report
+		s.told[report.Key] = report
 	}
 	return next, true
 }
@@ -121,8 +139,8 @@
 func (s *Sender) changed(reports []Report, due bool) []Report {
 	var out []Report
 	for _, report := range reports {
-		told := s.told[report.Index]
-		told.Index = report.Index
+		told := s.told[report.Key]
+		told.Key = report.Key
 		if report == told {
 			continue
 		}
@@ -137,7 +155,7 @@
 // Delta is new evidence of an origin about one server.
 type Delta struct {
 	Origin    lagoonstile.InstanceID
-	Index     Index
+	Key       Key
 	Good, Bad uint64
 }
 
@@ -146,9 +164,11 @@
 	Digest Digest
 	// Heard is when the last digest came.
 	Heard time.Time
-	// Reports has the last report on each server. It belongs to the version in
-	// Digest.
-	Reports map[Index]Report
+	// started says that a full digest came: servers without a report have no
+	// counts.
+	started bool
+	// Reports has the last report on each server.
+	Reports map[Key]Report
 }
 
 // View merges the digests of all peers. The zero value knows of none.
@@ -156,33 +176,24 @@
 	peers map[lagoonstile.InstanceID]*Peer
 }
 
-// Merge takes in a digest and returns the evidence that it adds. The first
-// digest of an incarnation, and the first one after a change of version, adds
-// none: nobody knows how much of its counts is old.
+// Merge takes in a digest and returns the evidence that it adds. A full digest
+// is where counting starts: nobody knows how much of its counts is old.
 func (v *View) Merge(now time.Time, digest Digest) []Delta {
 	if v.peers == nil {
 		v.peers = make(map[lagoonstile.InstanceID]*Peer)
 	}
 	peer := v.peers[digest.Origin]
-	fresh := peer == nil || peer.Digest.Incarnation != digest.Incarnation || peer.Digest.Version != digest.Version
-	if fresh {
-		peer = &Peer{Reports: make(map[Index]Report)}
+	if peer == nil || peer.Digest.Incarnation != digest.Incarnation || digest.Full {
+		peer = &Peer{Reports: make(map[Key]Report)}
 		v.peers[digest.Origin] = peer
 	}
+	peer.started = peer.started || digest.Full
 	var deltas []Delta
 	for _, report := range digest.Reports {
-		past, known := peer.Reports[report.Index]
-		peer.Reports[report.Index] = report
-		// A server that the origin did not report before has zero counts at the
-		// start of the state, unless the state itself is new.
-		if !known && fresh {
-			continue
-		}
-		if report.Good < past.Good || report.Bad < past.Bad {
-			continue
-		}
-		if report.Good > past.Good || report.Bad > past.Bad {
-			deltas = append(deltas, Delta{Origin: digest.Origin, Index: report.Index, Good: report.Good - past.Good, Bad: report.Bad - past.Bad})
+		delta, ok := peer.take(report, digest.Full)
+		if ok {
+			delta.Origin = digest.Origin
+			deltas = append(deltas, delta)
 		}
 	}
 	peer.Digest = digest
@@ -190,6 +201,17 @@
 	return deltas
 }
 
+// take replaces a report and returns what it adds to the one before.
+func (p *Peer) take(report Report, full bool) (Delta, bool) {
+	past := p.Reports[report.Key]
+	p.Reports[report.Key] = report
+	if full || !p.started || report.Good < past.Good || report.Bad < past.Bad {
+		return Delta{}, false
+	}
+	delta := Delta{Key: report.Key, Good: report.Good - past.Good, Bad: report.Bad - past.Bad}
+	return delta, delta.Good+delta.Bad > 0
+}
+
 // Drop forgets a peer.
 func (v *View) Drop(id lagoonstile.InstanceID) { delete(v.peers, id) }
 
@@ -224,19 +246,16 @@
 	Draining, Ejected bool
 }
 
-// Around sums up what live peers of the given version say of each server.
-func (v *View) Around(now time.Time, version lagoonstile.Version) map[Index]Around {
-	out := make(map[Index]Around)
+// Around sums up what the live peers say of each server.
+func (v *View) Around(now time.Time) map[Key]Around {
+	out := make(map[Key]Around)
 	for _, peer := range v.Alive(now) {
-		if peer.Digest.Version != version {
-			continue
-		}
-		for index, report := range peer.Reports {
-			around := out[index]
+		for key, report := range peer.Reports {
+			around := out[key]
 			around.InFlight += int(report.InFlight)
 			around.Draining = around.Draining || report.Draining
 			around.Ejected = around.Ejected || report.Ejected
-			out[index] = around
+			out[key] = around
 		}
 	}
 	return out
--- a/linker/link.go
+++ b/linker/link.go
@@ -27,6 +27,8 @@
 	// heard is when the last pong or return came.
 	heard  time.Time
 	nextID uint64
+	// dials counts the connections so far.
+	dials int
 	// waiting holds the calls without a return, each a channel for one.
 	waiting map[uint64]chan *Return
 	lost    chan struct{}
@@ -78,6 +80,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.conn = conn
+	k.dials++
 	k.heard = time.Now()
 	k.lost = make(chan struct{})
 	return lost, nil
@@ -140,10 +143,15 @@
 	k.drop()
 }
 
-func (k *link) connected() bool {
+// connection returns the number of the connection, from 1 on, or 0 while there
+// is none.
+func (k *link) connection() int {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.conn != nil
+	if k.conn == nil {
+		return 0
+	}
+	return k.dials
 }
 
 func (k *link) send(message Message) error {
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -164,14 +164,15 @@
 	}
 }
 
-// Connected lists the peers with a link that works.
-func (l *Linker) Connected() []lagoonstile.InstanceID {
+// Connected returns the peers with a link that works, each with the number of
+// its connection: another number means that what was sent before may be lost.
+func (l *Linker) Connected() map[lagoonstile.InstanceID]int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []lagoonstile.InstanceID
+	out := make(map[lagoonstile.InstanceID]int)
 	for id, link := range l.links {
-		if link.connected() {
-			out = append(out, id)
+		if connection := link.connection(); connection > 0 {
+			out[id] = connection
 		}
 	}
 	return out
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -35,6 +35,8 @@
 // peerSender is what the gossip loop knows of one peer.
 type peerSender struct {
 	digests gossiper.Sender
+	// connection is the one that digests were sent on.
+	connection int
 	// behind is since when the peer has had an older version; zero if not.
 	behind time.Time
 }
@@ -148,8 +150,8 @@
 	p.instance.control.ask(func(now time.Time, state *controller.State) {
 		members = state.Members()
 		whole := state.Own(p.own(now))
-		for _, id := range connected {
-			messages = append(messages, p.next(now, state, id, whole))
+		for id, connection := range connected {
+			messages = append(messages, p.next(now, state, id, connection, whole))
 		}
 	})
 	p.linker.SetPeers(members)
@@ -172,15 +174,15 @@
 }
 
 // next works out what to say to a peer.
-func (p *peers) next(now time.Time, state *controller.State, id lagoonstile.InstanceID, whole gossiper.Digest) outgoing {
+func (p *peers) next(now time.Time, state *controller.State, id lagoonstile.InstanceID, connection int, whole gossiper.Digest) outgoing {
 	sender := p.senders[id]
-	if sender == nil {
-		sender = &peerSender{}
+	if sender == nil || sender.connection != connection {
+		sender = &peerSender{connection: connection}
 		p.senders[id] = sender
 	}
 	message := outgoing{to: id}
 	version := state.PeerVersion(id)
-	if digest, due := sender.digests.Next(now, whole, version); due {
+	if digest, due := sender.digests.Next(now, whole); due {
 		message.digest = &digest
 	}
 	switch {
@@ -208,15 +210,12 @@
 // successor chooses the instance that order keys go to: the least loaded one
 // that is linked and stays.
 func (p *peers) successor() lagoonstile.InstanceID {
-	linked := make(map[lagoonstile.InstanceID]bool)
-	for _, id := range p.linker.Connected() {
-		linked[id] = true
-	}
+	linked := p.linker.Connected()
 	var best lagoonstile.InstanceID
 	var load int
 	for _, candidate := range p.instance.cell.Load().Candidates("") {
 		id := candidate.Home.Instance
-		if linked[id] && !candidate.Leaving && (best == "" || candidate.Load < load) {
+		if linked[id] > 0 && !candidate.Leaving && (best == "" || candidate.Load < load) {
 			best, load = id, candidate.Load
 		}
 	}
