Give up an order's key that nobody has seen

Cause: after a crash, callers whose entry answer named the crashed instance sent orders to the next address, which can only ask a home that is gone: outcome unknown, although no byte had left the caller.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -41,6 +41,9 @@
 	ErrNoFleet = errors.New("no address of the fleet answers")
 )
 
+// errUnsent wraps errors before any byte was sent.
+var errUnsent = errors.New("not sent")
+
 // Timing of a caller.
 const (
 	entryTimeout = 2 * time.Second
@@ -167,6 +170,11 @@
 			answer.Sends = attempt + 1
 			return answer, outcomeOf(answer)
 		}
+		if attempt == 0 && errors.Is(err, errUnsent) {
+			// Nobody has seen the key, so it can be given up. Another address
+			// could only ask a home that may be gone.
+			return nil, fmt.Errorf("%w: %w", ErrNotRun, err)
+		}
 		last = err
 		if !pause(ctx, attempt) {
 			return &Answer{Key: key, Sends: attempt + 1}, fmt.Errorf("order %s: %w: %w", key, ErrUnknown, last)
@@ -225,7 +233,14 @@
 			GotFirstResponseByte: func() { timer.Stop() },
 		}))
 	}
+	connected := false
+	httpReq = httpReq.WithContext(httptrace.WithClientTrace(httpReq.Context(), &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	}))
 	res, err := c.client().Do(httpReq)
+	if err != nil && !connected {
+		return nil, fmt.Errorf("%w: %w", errUnsent, err)
+	}
 	if err != nil {
 		return nil, err
 	}
