--- /dev/null
+++ b/configurer/configurer_test.go
@@ -0,0 +1,223 @@
+package configurer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"lagoonstile"
+	"lagoonstile/configurer"
+	"lagoonstile/encoder"
+	"lagoonstile/internal/checker"
+)
+
+// stream is a log that loses old records and keeps, for the oracle, all of
+// them.
+type stream struct {
+	records [][]byte
+	first   lagoonstile.Offset
+}
+
+func (s *stream) append(t *rapid.T, record lagoonstile.Record) {
+	data, err := encoder.Encode(record)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.records = append(s.records, data)
+}
+
+// reader is an instance that may stop and start again without its state.
+type reader struct {
+	fold configurer.Fold
+	// highest is the newest version that was ever in force since the start.
+	highest lagoonstile.Version
+}
+
+func (r *reader) read(s *stream, limit int) {
+	r.fold.Skip(s.first)
+	for range limit {
+		at := r.fold.Next()
+		if int(at) >= len(s.records) {
+			return
+		}
+		r.fold.Entry(lagoonstile.Entry{Offset: at, At: time.Unix(int64(at), 0), Data: s.records[at]})
+	}
+}
+
+// oracle folds the whole history by the plainest rules and keeps the services
+// of each version.
+func oracle(s *stream) map[lagoonstile.Version]map[lagoonstile.ServiceID]float64 {
+	state := map[lagoonstile.ServiceID]float64{}
+	version := lagoonstile.Version(0)
+	seen := map[lagoonstile.ChangeID]bool{}
+	versions := map[lagoonstile.Version]map[lagoonstile.ServiceID]float64{0: {}}
+	for _, data := range s.records {
+		var record lagoonstile.Record
+		if encoder.Decode(data, &record) != nil || record.Change == nil {
+			continue
+		}
+		change := record.Change
+		if seen[change.ID] || change.Base != version || change.Set[0].Floor <= 0 {
+			continue
+		}
+		seen[change.ID] = true
+		version++
+		next := map[lagoonstile.ServiceID]float64{}
+		for id, floor := range state {
+			next[id] = floor
+		}
+		next[change.Set[0].ID] = change.Set[0].Floor
+		state = next
+		versions[version] = state
+	}
+	return versions
+}
+
+func floors(cfg lagoonstile.Configuration) map[lagoonstile.ServiceID]float64 {
+	out := map[lagoonstile.ServiceID]float64{}
+	for id, service := range cfg.Services {
+		out[id] = service.Floor
+	}
+	return out
+}
+
+func serviceWith(id string, floor float64) *lagoonstile.Service {
+	return &lagoonstile.Service{
+		ID: lagoonstile.ServiceID(id), Rank: lagoonstile.RankLookups, Floor: floor,
+		FalseEjectionsPerWeek: 1, Deadline: time.Second, ConnectionsPerServer: 1,
+		Servers: []lagoonstile.Server{{ID: "a", Address: "127.0.0.1:1", FailureDomain: "d", Slots: 6}},
+	}
+}
+
+// TestFoldAgreesWithOracle drives readers through publications, lost answers,
+// races, expiry, pauses, restarts and snapshots from peers in any order. A
+// version in force is always the one that the whole history makes.
+func TestFoldAgreesWithOracle(t *testing.T) {
+	checker.Check(t, func(t *rapid.T) {
+		log := &stream{}
+		readers := []*reader{{}, {}, {}}
+		var last *lagoonstile.Change
+		serial := 0
+		pick := func(t *rapid.T) *reader { return readers[rapid.IntRange(0, 2).Draw(t, "reader")] }
+		check := func(t *rapid.T) {
+			truth := oracle(log)
+			for i, r := range readers {
+				cfg := r.fold.Configuration()
+				if cfg.Version < r.highest {
+					t.Fatalf("reader %d went from version %d back to %d", i, r.highest, cfg.Version)
+				}
+				r.highest = cfg.Version
+				if diff := cmp.Diff(truth[cfg.Version], floors(cfg)); diff != "" {
+					t.Fatalf("reader %d, version %d: %s", i, cfg.Version, diff)
+				}
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"publish": func(t *rapid.T) {
+				serial++
+				base := pick(t).fold.Configuration().Version
+				floor := rapid.SampledFrom([]float64{0.25, 0.5, 0.75, -1}).Draw(t, "floor")
+				service := rapid.SampledFrom([]string{"stock", "orders"}).Draw(t, "service")
+				last = &lagoonstile.Change{
+					ID: lagoonstile.ChangeID(fmt.Sprint("change-", serial)), Base: base,
+					Set: []*lagoonstile.Service{serviceWith(service, floor)},
+				}
+				log.append(t, lagoonstile.Record{Change: last})
+			},
+			"append-again": func(t *rapid.T) {
+				if last != nil {
+					log.append(t, lagoonstile.Record{Change: last})
+				}
+			},
+			"garbage": func(*rapid.T) { log.records = append(log.records, []byte{0xff}) },
+			"read":    func(t *rapid.T) { pick(t).read(log, rapid.IntRange(1, 5).Draw(t, "entries")) },
+			"snapshot": func(t *rapid.T) {
+				if snapshot, ok := pick(t).fold.Snapshot(); ok {
+					log.append(t, lagoonstile.Record{Snapshot: snapshot})
+				}
+			},
+			"offer": func(t *rapid.T) {
+				if snapshot, ok := pick(t).fold.Snapshot(); ok {
+					pick(t).fold.Adopt(snapshot)
+				}
+			},
+			"expire": func(t *rapid.T) {
+				log.first += lagoonstile.Offset(rapid.IntRange(0, len(log.records)-int(log.first)).Draw(t, "records"))
+			},
+			"restart": func(t *rapid.T) { *pick(t) = reader{} },
+			"":        check,
+		})
+		// With everything read and a snapshot of the newest state, all agree.
+		for _, r := range readers {
+			r.read(log, len(log.records)+1)
+		}
+		newest := readers[0]
+		for _, r := range readers {
+			if !r.fold.Blind() && (newest.fold.Blind() || r.fold.Configuration().Version > newest.fold.Configuration().Version) {
+				newest = r
+			}
+		}
+		snapshot, ok := newest.fold.Snapshot()
+		if !ok {
+			return
+		}
+		for i, r := range readers {
+			r.fold.Adopt(snapshot)
+			r.read(log, len(log.records)+1)
+			if r.fold.Configuration().Version != newest.fold.Configuration().Version {
+				t.Fatalf("reader %d ends at version %d, another at %d", i, r.fold.Configuration().Version, newest.fold.Configuration().Version)
+			}
+		}
+		check(t)
+	})
+}
+
+// TestVerdicts shows each verdict of the fold.
+func TestVerdicts(t *testing.T) {
+	change := func(id string, base lagoonstile.Version, floor float64) lagoonstile.Record {
+		return lagoonstile.Record{Change: &lagoonstile.Change{
+			ID: lagoonstile.ChangeID(id), Base: base, Author: "anna",
+			Set: []*lagoonstile.Service{serviceWith("stock", floor)},
+		}}
+	}
+	snapshot := func(version lagoonstile.Version, next lagoonstile.Offset) lagoonstile.Record {
+		cfg := lagoonstile.Configuration{Version: version, Services: map[lagoonstile.ServiceID]*lagoonstile.Service{"stock": serviceWith("stock", 0.5)}}
+		return lagoonstile.Record{Snapshot: &lagoonstile.Snapshot{Configuration: cfg, Next: next}}
+	}
+	steps := []struct {
+		name    string
+		skip    lagoonstile.Offset
+		offset  lagoonstile.Offset
+		record  lagoonstile.Record
+		verdict configurer.Verdict
+		version lagoonstile.Version
+	}{
+		{"first change", 0, 0, change("a", 0, 0.5), configurer.VerdictInForce, 1},
+		{"the same change appended again", 0, 1, change("a", 0, 0.5), configurer.VerdictRepeated, 1},
+		{"a change made at the same moment", 0, 2, change("b", 0, 0.6), configurer.VerdictStaleBase, 1},
+		{"a change that breaks a rule", 0, 3, change("c", 1, 7), configurer.VerdictInvalid, 1},
+		{"an empty record", 0, 4, lagoonstile.Record{}, configurer.VerdictInvalid, 1},
+		{"a snapshot of what is in force", 0, 5, snapshot(1, 5), configurer.VerdictNotNewer, 1},
+		{"a snapshot of the future", 0, 6, snapshot(9, 9), configurer.VerdictInvalid, 1},
+		{"a record too far on", 0, 9, change("d", 1, 0.7), configurer.VerdictAhead, 1},
+		{"a change after records expired unread", 20, 20, change("e", 1, 0.7), configurer.VerdictBlind, 1},
+		{"a snapshot that closes the gap", 0, 21, snapshot(4, 21), configurer.VerdictAdopted, 4},
+		{"a record read before", 0, 20, change("e", 1, 0.7), configurer.VerdictNotNewer, 4},
+		{"a change after the gap", 0, 21, change("f", 4, 0.7), configurer.VerdictInForce, 5},
+	}
+	var fold configurer.Fold
+	for _, step := range steps {
+		data, err := encoder.Encode(step.record)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fold.Skip(step.skip)
+		out := fold.Entry(lagoonstile.Entry{Offset: step.offset, Data: data})
+		if out.Verdict != step.verdict || fold.Configuration().Version != step.version {
+			t.Errorf("%s: verdict %s (%v), version %d; want %s, %d", step.name, out.Verdict, out.Err, fold.Configuration().Version, step.verdict, step.version)
+		}
+	}
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -11,8 +11,9 @@
 // Shares are kept by credit in the manner of deficit round robin (M. Shreedhar
 // and G. Varghese, "Efficient Fair Queueing Using Deficit Round Robin",
 // SIGCOMM 1995), with slot time in place of bytes: while a rank waits, it earns
-// its share of the capacity and pays for the slots that it holds. A rank with
-// credit goes before more urgent ones.
+// its share of the capacity, and it pays the mean service time for each start
+// and the difference to the real one at the end. A rank with credit goes before
+// more urgent ones.
 package scheduler
 
 import (
@@ -41,6 +42,8 @@
 
 	state   state
 	started time.Time
+	// paid is the credit that the start cost.
+	paid time.Duration
 }
 
 type state int
@@ -80,6 +83,8 @@
 	debtSpan = 50 * time.Millisecond
 	// smoothing is the weight of a new sample in the mean service time.
 	smoothing = 0.05
+	// lateInterval is how often a full queue looks for tickets that are late.
+	lateInterval = 5 * time.Millisecond
 )
 
 // Queue is the state of one scheduler. It is not safe for concurrent use.
@@ -96,6 +101,8 @@
 	accounted time.Time
 	// mean is the smoothed service time of each rank.
 	mean map[lagoonstile.Rank]time.Duration
+	// lookedForLate is when a full rank was last searched for late tickets.
+	lookedForLate map[lagoonstile.Rank]time.Time
 }
 
 // New returns an empty queue.
@@ -107,6 +114,8 @@
 		waiting:  make(map[lagoonstile.Rank]*callerQueue),
 		credit:   make(map[lagoonstile.Rank]time.Duration),
 		mean:     make(map[lagoonstile.Rank]time.Duration),
+
+		lookedForLate: make(map[lagoonstile.Rank]time.Time),
 	}
 	for _, rank := range lagoonstile.Ranks() {
 		q.waiting[rank] = &callerQueue{}
@@ -144,7 +153,9 @@
 	queue := q.waiting[ticket.Rank]
 	var actions []Action
 	if queue.len() >= q.waitingLimit() {
-		actions = q.shedLate(now, ticket.Rank)
+		if now.Sub(q.lookedForLate[ticket.Rank]) >= lateInterval {
+			actions = q.shedLate(now, ticket.Rank)
+		}
 		if len(actions) == 0 {
 			ticket.state = stateDone
 			return DecisionShed, nil
@@ -164,7 +175,9 @@
 	q.settle(now)
 	ticket.state = stateDone
 	q.running[ticket.Rank]--
-	q.observe(ticket.Rank, now.Sub(ticket.started))
+	took := now.Sub(ticket.started)
+	q.earn(ticket.Rank, ticket.paid-took)
+	q.observe(ticket.Rank, took)
 	return q.fill(now)
 }
 
@@ -250,23 +263,30 @@
 			q.credit[rank] = 0
 			continue
 		}
-		entitled := share * float64(q.capacity)
-		earned := (entitled - float64(q.running[rank])) * float64(elapsed)
-		credit := q.credit[rank] + time.Duration(earned)
-		most := time.Duration(entitled * float64(creditSpan))
-		least := -time.Duration(entitled * float64(debtSpan))
-		q.credit[rank] = min(max(credit, least), most)
+		q.earn(rank, time.Duration(share*float64(q.capacity)*float64(elapsed)))
 	}
 }
 
+// earn changes the credit of a rank within its bounds. The debt must have room
+// for a few starts, or a rank with long requests would get more than its share.
+func (q *Queue) earn(rank lagoonstile.Rank, amount time.Duration) {
+	entitled := q.shares[rank] * float64(q.capacity)
+	most := time.Duration(entitled * float64(creditSpan))
+	least := -max(time.Duration(entitled*float64(debtSpan)), 2*q.mean[rank])
+	q.credit[rank] = min(max(q.credit[rank]+amount, least), most)
+}
+
 func (q *Queue) start(now time.Time, ticket *Ticket) {
 	ticket.state = stateRunning
 	ticket.started = now
+	ticket.paid = q.mean[ticket.Rank]
 	q.running[ticket.Rank]++
+	q.earn(ticket.Rank, -ticket.paid)
 }
 
 // shedLate sheds the waiting tickets of a rank that cannot meet their deadline.
 func (q *Queue) shedLate(now time.Time, rank lagoonstile.Rank) []Action {
+	q.lookedForLate[rank] = now
 	late := q.waiting[rank].removeIf(func(ticket *Ticket) bool { return !q.canMeet(now, ticket) })
 	actions := make([]Action, 0, len(late))
 	for _, ticket := range late {
