--- a/cmd/standin/emulator/server.go
+++ b/cmd/standin/emulator/server.go
@@ -116,6 +116,13 @@
 	}
 }
 
+// Running reports whether the server listens.
+func (s *Server) Running() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.listener != nil
+}
+
 // SetFaults replaces the faults in force.
 func (s *Server) SetFaults(faults ServerFaults) {
 	s.mu.Lock()
--- a/deduplicator/deduplicator_test.go
+++ b/deduplicator/deduplicator_test.go
@@ -114,10 +114,8 @@
 				if verdict := table.Begin(now, "new", table.Home().Epoch, 7); verdict.Step != deduplicator.StepSealed {
 					t.Fatalf("a sealed table says %s to a new key", verdict.Step)
 				}
-				for key := range w.running {
-					delete(w.running, key)
-					table.Unknown(key)
-				}
+				// Orders that still run are cut off: nobody will hear of their end.
+				clear(w.running)
 				table = deduplicator.Adopt(now, table.Home(), table.Export(), limits)
 			},
 			"": func(t *rapid.T) {
--- a/dispatcher/handover.go
+++ b/dispatcher/handover.go
@@ -163,3 +163,10 @@
 		}
 	}
 }
+
+// Sealed reports whether this instance takes no new keys.
+func (d *Dispatcher) Sealed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.own.Sealed()
+}
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -260,8 +260,11 @@
 		if v.state != StateTrial {
 			continue
 		}
+		failed := v.finding.Score >= trialScore*v.finding.Threshold
 		switch {
-		case v.finding.Score >= trialScore*v.finding.Threshold:
+		case (failed || v.finding.Steer) && u.inUse() <= u.minServers:
+			u.move(v, StateHeld)
+		case failed:
 			u.sendAway(v)
 		case v.finding.Steer:
 			u.steerAway(v)
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -90,7 +90,12 @@
 				if want := min(floor, servers-leaving); inUse < want {
 					t.Fatalf("%d servers in use, floor %d, %d leaving: %v", inUse, floor, leaving, decisions)
 				}
+				moved := map[lagoonstile.ServerID]ejector.State{}
 				for _, change := range changes {
+					if moved[change.Server] == ejector.StateEjected && change.To == ejector.StateHeld {
+						t.Fatalf("%s was ejected and brought back at once", change.Server)
+					}
+					moved[change.Server] = change.To
 					if change.To == ejector.StateEjected && change.From != ejector.StateTrial && !change.Finding.Corroborated {
 						t.Fatalf("%s was ejected without corroborated evidence", change.Server)
 					}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -109,12 +109,12 @@
 	id := newRequestID()
 	table := f.Table()
 	if table == nil {
-		f.fail(w, &Request{ID: id}, start, &answerer.Failure{Kind: answerer.KindNotReady})
+		f.fail(w, &Request{ID: id}, start, early(httpReq, &answerer.Failure{Kind: answerer.KindNotReady}))
 		return
 	}
 	req, failure := newRequest(id, httpReq, table, start)
 	if failure != nil {
-		f.fail(w, req, start, failure)
+		f.fail(w, req, start, early(httpReq, failure))
 		return
 	}
 	ctx, cancel := context.WithDeadline(httpReq.Context(), req.Deadline)
@@ -128,6 +128,16 @@
 	f.record(req, kind, start)
 }
 
+// early marks a failure that was found before the home was asked. Another copy
+// of an order may be at its home already, and only the home may say that it was
+// not run. A key that names no home is the exception: nobody ever runs it.
+func early(httpReq *http.Request, failure *answerer.Failure) *answerer.Failure {
+	if httpReq.Header.Get(HeaderKey) != "" && failure.Kind != answerer.KindKeyMalformed {
+		failure.MayHaveRun = true
+	}
+	return failure
+}
+
 // answer gets the answer to a request from wherever it may come.
 func (f *Forwarder) answer(ctx context.Context, req *Request) (*Answer, error) {
 	if req.Idempotent {
--- a/forwarder/run.go
+++ b/forwarder/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lagoonstile/answerer"
@@ -127,8 +128,7 @@
 	}
 }
 
-// mayTryAgain keeps the rules of what may run twice and of the budget. A try
-// that sent nothing costs no server anything, so it is not paid for.
+// mayTryAgain keeps the rules of what may run twice and of the budget.
 func (r *run) mayTryAgain(t *trial) bool {
 	if len(r.tried) >= maxTries || r.admission == quarantiner.Not {
 		return false
@@ -136,8 +136,7 @@
 	if !r.req.Idempotent && r.mayHaveRun {
 		return false
 	}
-	unsent := t.answer == nil && !t.mayHaveRun && t.failure(false).Kind == answerer.KindNoServer
-	return unsent || r.req.Entry.Budget.Take()
+	return t.free || r.req.Entry.Budget.Take()
 }
 
 // hedge sends a slow request to a second server as well.
@@ -201,14 +200,16 @@
 	return true
 }
 
-// reserve takes the least loaded server that is not reserved yet.
+// reserve takes the least loaded server that is neither tried nor reserved yet.
 func (r *run) reserve() *picker.Target {
 	var best *picker.Target
 	for _, target := range r.req.Entry.Pool.Targets {
-		if target.Live.Reserved() || (best != nil && target.Load() >= best.Load()) {
+		if target.Live.Reserved() || slices.Contains(r.tried, target) {
 			continue
 		}
-		best = target
+		if best == nil || target.Load() < best.Load() {
+			best = target
+		}
 	}
 	if best == nil || !best.Live.Reserve() {
 		return nil
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -27,6 +27,9 @@
 	// mayHaveRun is false only when no byte was sent or the server said that it
 	// did not run the request.
 	mayHaveRun bool
+	// free says that the try cost no server anything that counts: nothing was
+	// sent, or the server is leaving and gets nothing more from here.
+	free bool
 	// crashed says that an open connection ended before any answer came.
 	crashed bool
 }
@@ -67,11 +70,13 @@
 	if reason := shedReason(res); reason != "" {
 		_ = res.Body.Close()
 		watch.settle(counter.ResultShed)
-		if reason == ShedDraining {
+		draining := reason == ShedDraining
+		if draining {
 			target.Live.SetDraining()
 		}
 		end()
-		return &trial{target: target, err: &answerer.Failure{Kind: answerer.KindOverloaded, Cause: fmt.Errorf("server %s: not run: %s", target.Server.ID, reason)}}
+		cause := fmt.Errorf("server %s: not run: %s", target.Server.ID, reason)
+		return &trial{target: target, free: draining, err: &answerer.Failure{Kind: answerer.KindOverloaded, Cause: cause}}
 	}
 	answer := &Answer{Status: res.StatusCode, Header: endToEnd(res.Header), target: target, start: watch.start}
 	if err := answer.hold(req.Method, res); err != nil {
@@ -132,6 +137,7 @@
 		t.crashed = ctx.Err() == nil
 		t.err = &answerer.Failure{Kind: answerer.KindServerFailed, Cause: err}
 	default:
+		t.free = true
 		t.err = &answerer.Failure{Kind: answerer.KindNoServer, Cause: err}
 	}
 	return t
--- a/internal/checker/checker.go
+++ b/internal/checker/checker.go
@@ -9,6 +9,7 @@
 	"flag"
 	"os"
 	"testing"
+	"testing/synctest"
 
 	"pgregory.net/rapid"
 )
@@ -39,3 +40,22 @@
 		t.Fatalf("set %s: %v", name, err)
 	}
 }
+
+// CheckVirtual runs a property in virtual time: each run has a clock of its own
+// that moves on only when everything waits. The property must end every
+// goroutine that it starts, also when it fails.
+func CheckVirtual(t *testing.T, property func(*rapid.T)) {
+	t.Helper()
+	Check(t, func(rt *rapid.T) {
+		var thrown any
+		synctest.Test(t, func(*testing.T) {
+			// rapid tells of a failure by a panic, which has to leave the
+			// bubble on rapid's own goroutine.
+			defer func() { thrown = recover() }()
+			property(rt)
+		})
+		if thrown != nil {
+			panic(thrown)
+		}
+	})
+}
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -19,8 +19,10 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/lesismal/nbio/nbhttp/websocket"
 
@@ -94,6 +96,10 @@
 	server      *nbhttp.Engine
 	client      *nbhttp.Engine
 
+	// opened hands what the accepting goroutine wrote to the reading one, as in
+	// package listener.
+	opened atomic.Uint64
+
 	mu     sync.Mutex
 	links  map[lagoonstile.InstanceID]*link
 	closed bool
@@ -112,6 +118,11 @@
 		inbound:     make(map[*websocket.Conn]struct{}),
 	}
 	l.server = nbhttp.NewEngine(engineConfig([]string{address}, http.HandlerFunc(l.accept)))
+	l.server.OnOpen(func(net.Conn) { l.opened.Add(1) })
+	l.server.Engine.OnData(func(conn *nbio.Conn, data []byte) {
+		l.opened.Load()
+		conn.DataHandler()(conn, data)
+	})
 	if err := l.server.Start(); err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -150,10 +150,12 @@
 	c.cancel = nil
 }
 
+// busy reports whether a request is under way: being read, in flight, or its
+// answer not out yet.
 func (c *conn) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.requests > 0 || c.pending > 0
+	return c.requests > 0 || c.pending > 0 || c.unparsed > 0
 }
 
 // read counts n bytes and reports whether the request may still go on.
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -20,6 +20,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -62,6 +63,11 @@
 	handler http.Handler
 	engine  *nbhttp.Engine
 
+	// opened counts accepted connections. What the accepting goroutine wrote is
+	// handed to the reading one through it: nbio itself hands connections over
+	// through epoll, which neither the memory model nor the race detector sees.
+	opened atomic.Uint64
+
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 	// leaving closes connections as they become idle.
@@ -92,6 +98,7 @@
 		// pool would let slow requests keep urgent ones from being read.
 		ServerExecutor: func(f func()) { go f() },
 	})
+	l.engine.OnOpen(func(net.Conn) { l.opened.Add(1) })
 	l.engine.Engine.OnData(l.data)
 	l.engine.OnWrittenSize(written)
 	if err := l.engine.Start(); err != nil {
@@ -128,7 +135,7 @@
 	return n
 }
 
-// Connections returns how many connections have sent a request and are open.
+// Connections returns how many connections have sent something and are open.
 func (l *Listener) Connections() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -155,8 +162,8 @@
 	if !ok {
 		return
 	}
-	c := l.connOf(res.Parser)
-	if c == nil {
+	c, ok := res.Parser.Conn.(*conn)
+	if !ok {
 		return
 	}
 	// The idle limit does not hold while a request is in flight.
@@ -179,7 +186,9 @@
 		return
 	}
 	if countHeaders(req.Header) > l.limits.Headers {
-		failure := answerer.Failure{Kind: answerer.KindHeaderLimit}
+		// Another copy of an order may have had fewer headers.
+		order := req.Header.Get("Idempotency-Key") != ""
+		failure := answerer.Failure{Kind: answerer.KindHeaderLimit, MayHaveRun: order}
 		failure.Write(w, "")
 		c.finish()
 		return
@@ -191,19 +200,11 @@
 	l.handler.ServeHTTP(w, req.WithContext(ctx))
 }
 
-// connOf returns our conn of a parser and makes it on the first request.
-func (l *Listener) connOf(parser *nbhttp.Parser) *conn {
+// connOf returns our conn of a parser and makes it with the first bytes.
+func (l *Listener) connOf(parser *nbhttp.Parser, nbc *nbio.Conn) *conn {
 	if c, ok := parser.Conn.(*conn); ok {
 		return c
 	}
-	under, ok := parser.Conn.(*nbhttp.Conn)
-	if !ok {
-		return nil
-	}
-	nbc, ok := under.Conn.(*nbio.Conn)
-	if !ok {
-		return nil
-	}
 	c := newConn(nbc, l.limits.Stall)
 	parser.Conn = c
 	l.mu.Lock()
@@ -220,6 +221,7 @@
 
 // data runs on the reading goroutine for every piece that was read.
 func (l *Listener) data(nbc *nbio.Conn, data []byte) {
+	l.opened.Load()
 	session, ok := nbc.Session().(nbhttp.ParserCloser)
 	if !ok {
 		_ = nbc.Close()
@@ -227,7 +229,7 @@
 	}
 	parser, isHTTP := session.(*nbhttp.Parser)
 	if isHTTP {
-		if c, ok := parser.Conn.(*conn); ok && !c.read(len(data), l.limits.RequestBytes) {
+		if !l.connOf(parser, nbc).read(len(data), l.limits.RequestBytes) {
 			refuse(nbc, answerer.KindTooLarge)
 			return
 		}
--- a/loader/inventory.go
+++ b/loader/inventory.go
@@ -59,6 +59,8 @@
 	cfg := lagoonstile.Configuration{Services: make(map[lagoonstile.ServiceID]*lagoonstile.Service)}
 	if inventoryDoc.err() == nil && rulesDoc.err() == nil {
 		inventoryDoc.addServers(&servers, cfg)
+	}
+	if inventoryDoc.err() == nil && rulesDoc.err() == nil {
 		rulesDoc.addRules(&policy, cfg)
 	}
 	problems := append(inventoryDoc.problems, rulesDoc.problems...)
--- a/operator/actions.go
+++ b/operator/actions.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/url"
+	"slices"
 	"strings"
 	"time"
 
@@ -142,6 +143,7 @@
 	} else {
 		c.line("version %d (change %s)", publication.Version, publication.Change)
 	}
+	slices.SortFunc(publication.InForce, func(a, b Arrival) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
 	for _, arrival := range publication.InForce {
 		c.line("  in force on %s after %d ms", arrival.Instance, arrival.AfterMs)
 	}
@@ -256,6 +258,7 @@
 	events, err := fleet.Trail(ctx, func(event auditor.Event) bool {
 		return (c.service == "" || string(event.Service) == c.service) &&
 			(c.kind == "" || string(event.Kind) == c.kind) &&
+			(c.instance == "" || string(event.Instance) == c.instance) &&
 			(c.since == 0 || time.Since(event.At) <= c.since)
 	})
 	if err != nil {
@@ -268,8 +271,8 @@
 	})
 }
 
-// Trail returns the events of the audit stream that the filter lets through.
-// An event that was written twice is returned once.
+// Trail returns the events of the audit stream that the filter lets through, by
+// time. An event that was written twice is returned once.
 func (f *Fleet) Trail(ctx context.Context, filter func(auditor.Event) bool) ([]auditor.Event, error) {
 	events := []auditor.Event{}
 	seen := make(map[auditor.Event]bool)
@@ -294,6 +297,7 @@
 			}
 		}
 		if from >= page.Next {
+			slices.SortStableFunc(events, func(a, b auditor.Event) int { return a.At.Compare(b.At) })
 			return events, nil
 		}
 	}
--- a/operator/command.go
+++ b/operator/command.go
@@ -42,6 +42,7 @@
 	address          string
 	service          string
 	kind             string
+	instance         string
 	since            time.Duration
 }
 
@@ -89,6 +90,7 @@
 	audit := app.Command("audit", "Reads the audit trail.")
 	audit.Flag("service", "Only events of this service.").StringVar(&c.service)
 	audit.Flag("kind", "Only events of this kind.").StringVar(&c.kind)
+	audit.Flag("instance", "Only events of this instance.").StringVar(&c.instance)
 	audit.Flag("since", "Only events of this last span of time.").DurationVar(&c.since)
 	drain := app.Command("drain", "Makes an instance leave gracefully.")
 	drain.Arg("admin-address", "IP:port of the instance's admin listener.").Required().StringVar(&c.address)
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -124,12 +124,13 @@
 	change.ID = lagoonstile.ChangeID(uuid.NewString())
 	change.Author = author()
 	change.Reason = reason
-	return f.append(ctx, fold, &change)
+	return f.Append(ctx, fold, &change)
 }
 
-// append puts the change into the stream until it is found there. A change
-// that stands there twice takes effect once.
-func (f *Fleet) append(ctx context.Context, fold *configurer.Fold, change *lagoonstile.Change) (Publication, error) {
+// Append puts a change into the stream until it is found there, and returns
+// what became of it. A change that stands there twice takes effect once. The
+// fold must be the one that the change was made from.
+func (f *Fleet) Append(ctx context.Context, fold *configurer.Fold, change *lagoonstile.Change) (Publication, error) {
 	publication := Publication{Change: change.ID}
 	data, err := encoder.Encode(lagoonstile.Record{Change: change})
 	if err != nil {
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -48,6 +48,12 @@
 	return !t.Full() && t.Load() < t.Server.Slots
 }
 
+// closed reports whether the server takes nothing new from this moment on,
+// which the pool may not show yet.
+func (t *Target) closed() bool {
+	return t.Live.Reserved() || t.Live.Draining()
+}
+
 // Pool is the servers that a service's traffic may go to.
 type Pool struct {
 	// Targets are all servers in use, each with a weight over 0.
@@ -114,7 +120,7 @@
 	start := p.intN(len(targets))
 	for i := range targets {
 		target := targets[(start+i)%len(targets)]
-		if target == other || target.Live.Reserved() || contains(tried, target) {
+		if target == other || target.closed() || contains(tried, target) {
 			continue
 		}
 		if target.Weight >= 1 || p.float64() < target.Weight {
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -13,10 +13,9 @@
 
 // Burst bounds.
 const (
-	// burstTokens is how many retries may come at once after a quiet time.
+	// burstTokens is how many retries may come at once after a quiet time, and
+	// at the start. A quiet service ejects a failing server within fewer.
 	burstTokens = 10
-	// startTokens lets the first requests of an idle service be retried.
-	startTokens = 3
 )
 
 // Budget is a service's store of retries. The zero value has none and earns
@@ -34,7 +33,7 @@
 	b := &Budget{}
 	b.SetShare(share)
 	if share > 0 {
-		b.tokens = startTokens * scale
+		b.tokens = burstTokens * scale
 	}
 	return b
 }
--- a/runner/suspects.go
+++ b/runner/suspects.go
@@ -84,6 +84,13 @@
 	return printsOf(s.keeper.Quarantined(now)), crashes
 }
 
+// Quarantined returns how many requests this instance does not run.
+func (i *Instance) Quarantined() int {
+	i.suspects.mu.Lock()
+	defer i.suspects.mu.Unlock()
+	return len(i.suspects.keeper.Quarantined(time.Now()))
+}
+
 func (s *suspects) audit(print quarantiner.Print, detail string) {
 	s.instance.control.send(func(now time.Time, state *controller.State) {
 		state.Audit().Add(auditor.Event{
