--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export GOFLAGS := -buildvcs=false
 export CGO_ENABLED := 1
 
-.PHONY: build demo test check
+.PHONY: build demo test check fuzz bench soak
 
 build:
 	go build -o bin/ ./cmd/lagoonstile ./cmd/lagoonctl ./cmd/standin
@@ -19,3 +19,14 @@
 
 test: check
 	go test -race $(PACKAGES)
+
+# The long fuzzing mode: FUZZ_CHECKS runs of each property with new seeds.
+FUZZ_CHECKS ?= 5000
+fuzz:
+	LAGOONSTILE_FUZZ_CHECKS=$(FUZZ_CHECKS) go test -timeout 30m ./configurer ./deduplicator ./dispatcher ./ejector ./gossiper ./quarantiner ./retrier ./scheduler
+
+bench: build
+	./scripts/bench.sh
+
+soak: build
+	./scripts/soak.sh
--- /dev/null
+++ b/cmd/standin/demonstrator/bench.go
@@ -0,0 +1,228 @@
+package demonstrator
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"lagoonstile"
+	"lagoonstile/connector"
+	"lagoonstile/listener"
+	"lagoonstile/operator"
+)
+
+// Sizes of the bench.
+const (
+	benchSpan = 4 * time.Second
+	// warmUp is the part of a span whose times do not count: connections are
+	// opened in it.
+	warmUp = time.Second
+	// paceRate is a node's share of the letter's peak: 1.6 million requests a
+	// second over 3,200 nodes.
+	paceRate  = 500
+	idleConns = 2000
+)
+
+// Bench measures requests a second and times of one instance, against going to
+// the same server directly in the same run, and what connections cost it.
+func Bench(ctx context.Context, out io.Writer, world World) error {
+	server, err := listener.Listen("127.0.0.1:0", listener.DefaultLimits, http.HandlerFunc(answerShort))
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	if err := publishOne(ctx, world, server.Address()); err != nil {
+		return err
+	}
+	proxy := world.Listed[0].CallerAddress
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "connections\tpace\tway\trequests/s\tp50\tp99\tadded p50\tadded p99\t")
+	for _, row := range []struct{ connections, pace int }{{1, 0}, {64, 0}, {512, 0}, {64, paceRate}, {64, 4 * paceRate}, {512, 4 * paceRate}} {
+		direct := measure(ctx, server.Address(), row.connections, row.pace)
+		through := measure(ctx, proxy, row.connections, row.pace)
+		direct.print(table, row.connections, row.pace, "direct", result{})
+		through.print(table, row.connections, row.pace, "proxy", direct)
+	}
+	_ = table.Flush()
+	return benchMemory(ctx, out, world.Listed[0])
+}
+
+func answerShort(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "3")
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+// publishOne puts a service with one server of many slots in force.
+func publishOne(ctx context.Context, world World, address string) error {
+	fleet := &operator.Fleet{Log: &connector.Log{Base: world.Platform}, Instances: &connector.InstanceList{Base: world.Platform}}
+	service := &lagoonstile.Service{
+		ID: "bench", Rank: lagoonstile.RankLookups, Idempotent: true,
+		Routes:  []lagoonstile.Route{{PathPrefix: "/bench"}},
+		Servers: []lagoonstile.Server{{ID: "bench-1", Address: address, FailureDomain: "nord-a", Slots: 1000}},
+		Floor:   1, FalseEjectionsPerWeek: 1, Deadline: 10 * time.Second, RetryShare: 0, ConnectionsPerServer: 1000,
+	}
+	want := lagoonstile.Configuration{Services: map[lagoonstile.ServiceID]*lagoonstile.Service{"bench": service}}
+	publication, err := fleet.Publish(ctx, want, "bench")
+	if err != nil {
+		return err
+	}
+	for range 100 {
+		var status struct {
+			Version lagoonstile.Version `json:"version"`
+		}
+		err = fleet.Get(ctx, world.Listed[0].AdminAddress, "/status", &status)
+		if err == nil && status.Version >= publication.Version {
+			return nil
+		}
+		wait(ctx, 50*time.Millisecond)
+	}
+	return fmt.Errorf("version %d is not in force on %s: %w", publication.Version, world.Listed[0].ID, err)
+}
+
+// result is the times of one measurement.
+type result struct {
+	perSecond float64
+	p50, p99  time.Duration
+}
+
+func (r result) print(out io.Writer, connections, pace int, way string, direct result) {
+	paced := "none"
+	if pace > 0 {
+		paced = fmt.Sprintf("%d/s", pace)
+	}
+	added50, added99 := "", ""
+	if way == "proxy" {
+		added50 = (r.p50 - direct.p50).Round(10 * time.Microsecond).String()
+		added99 = (r.p99 - direct.p99).Round(10 * time.Microsecond).String()
+	}
+	_, _ = fmt.Fprintf(out, "%d\t%s\t%s\t%.0f\t%s\t%s\t%s\t%s\t\n", connections, paced, way, r.perSecond,
+		r.p50.Round(10*time.Microsecond), r.p99.Round(10*time.Microsecond), added50, added99)
+}
+
+// measure sends requests over so many connections, each one after the other, as
+// fast as it goes or at a pace over all connections.
+func measure(ctx context.Context, address string, connections, pace int) result {
+	ctx, cancel := context.WithTimeout(ctx, benchSpan)
+	defer cancel()
+	times := make([][]time.Duration, connections)
+	var all sync.WaitGroup
+	start := time.Now()
+	for i := range connections {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			var interval time.Duration
+			if pace > 0 {
+				interval = time.Duration(connections) * time.Second / time.Duration(pace)
+				wait(ctx, interval*time.Duration(i)/time.Duration(connections))
+			}
+			times[i] = sendOver(ctx, address, interval)
+		}()
+	}
+	all.Wait()
+	merged := slices.Concat(times...)
+	slices.Sort(merged)
+	if len(merged) == 0 {
+		return result{}
+	}
+	at := func(p float64) time.Duration { return merged[int(p*float64(len(merged)-1))] }
+	return result{perSecond: float64(len(merged)) / (time.Since(start) - warmUp).Seconds(), p50: at(0.5), p99: at(0.99)}
+}
+
+// sendOver sends requests on one connection until the context ends.
+func sendOver(ctx context.Context, address string, interval time.Duration) []time.Duration {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil
+	}
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	request := []byte("GET /bench HTTP/1.1\r\nHost: bench\r\n\r\n")
+	var times []time.Duration
+	next := time.Now()
+	counted := next.Add(warmUp)
+	for ctx.Err() == nil {
+		if interval > 0 {
+			wait(ctx, time.Until(next))
+			next = next.Add(interval)
+		}
+		start := time.Now()
+		if _, err := conn.Write(request); err != nil {
+			return times
+		}
+		res, err := http.ReadResponse(reader, nil)
+		if err != nil || res.StatusCode != http.StatusOK {
+			return times
+		}
+		_, _ = io.Copy(io.Discard, res.Body)
+		if start.After(counted) {
+			times = append(times, time.Since(start))
+		}
+	}
+	return times
+}
+
+// benchMemory opens connections to an instance in another process and reads
+// what it then holds.
+func benchMemory(ctx context.Context, out io.Writer, instance lagoonstile.Instance) error {
+	before, err := memoryOf(ctx, instance)
+	if err != nil {
+		return err
+	}
+	var conns []net.Conn
+	defer func() {
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}()
+	for range idleConns {
+		conn, err := net.Dial("tcp", instance.CallerAddress)
+		if err != nil {
+			return err
+		}
+		conns = append(conns, conn)
+		_, _ = io.WriteString(conn, "GET /bench HTTP/1.1\r\nHost: bench\r\n\r\n")
+		if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+			return err
+		}
+	}
+	after, err := memoryOf(ctx, instance)
+	if err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(out, "live heap and stacks of the instance: %d KB, with %d idle connections %d KB: %.1f KB each\n",
+		before>>10, idleConns, after>>10, float64(after-before)/1024/idleConns)
+	return nil
+}
+
+// memoryOf reads an instance's gauge of live heap and stacks, in bytes.
+func memoryOf(ctx context.Context, instance lagoonstile.Instance) (int64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+instance.AdminAddress+"/metrics", nil)
+	if err != nil {
+		return 0, err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	data, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(data)) {
+		var value int64
+		if _, err := fmt.Sscanf(line, "process.live-bytes %d", &value); err == nil {
+			return value, nil
+		}
+	}
+	return 0, fmt.Errorf("instance %s: no process.live-bytes among its metrics", instance.ID)
+}
--- a/cmd/standin/demonstrator/demo.go
+++ b/cmd/standin/demonstrator/demo.go
@@ -111,21 +111,19 @@
 	if _, err := fleet.Publish(ctx, fleet.Inventory()); err != nil {
 		return nil, err
 	}
-	traffic := NewTraffic(fleet)
+	traffic := NewTraffic(fleet.CallerAddresses(), fleet.Ledger.Runs)
 	sending, stop := context.WithCancel(ctx)
 	sent := make(chan struct{})
 	go func() {
 		defer close(sent)
 		traffic.Send(sending, consorzioWork)
 	}()
-	report := &Report{Tallies: make(map[lagoonstile.Rank]Tally)}
+	report := &Report{}
 	err = play(ctx, out, fleet, report)
 	stop()
 	<-sent
 	report.Doubled = fleet.Ledger.Doubled()
-	for _, rank := range lagoonstile.Ranks() {
-		report.Tallies[rank] = traffic.Tally(rank)
-	}
+	report.collect(traffic)
 	return report, err
 }
 
@@ -201,7 +199,23 @@
 	return false
 }
 
+// collect takes over what callers saw.
+func (r *Report) collect(traffic *Traffic) {
+	r.Tallies = make(map[lagoonstile.Rank]Tally)
+	for _, rank := range lagoonstile.Ranks() {
+		r.Tallies[rank] = traffic.Tally(rank)
+	}
+}
+
 func (r *Report) print(out io.Writer) {
+	r.printTallies(out)
+	_, _ = fmt.Fprintf(out, "detection of the failing server: %s\n", r.Detection.Round(time.Millisecond))
+	_, _ = fmt.Fprintf(out, "change in force everywhere after: %s\n", r.InForce.Round(time.Millisecond))
+	_, _ = fmt.Fprintf(out, "requests to a leaving server later than %s after the fleet could know: %d\n", emulator.LeavingLimit, r.LateWork)
+}
+
+// printTallies writes what callers saw.
+func (r *Report) printTallies(out io.Writer) {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
 	_, _ = fmt.Fprintln(table, "rank\trequests\twhole\tp50\tp99\tnot-run\tunknown\tfailed\t")
 	for _, rank := range lagoonstile.Ranks() {
@@ -218,9 +232,6 @@
 	}
 	_, _ = fmt.Fprintf(out, "doubled orders: %d\n", r.Doubled)
 	_, _ = fmt.Fprintf(out, "orders told not-run that ran: %d\n", r.Tallies[lagoonstile.RankOrders].FalseNotRun)
-	_, _ = fmt.Fprintf(out, "detection of the failing server: %s\n", r.Detection.Round(time.Millisecond))
-	_, _ = fmt.Fprintf(out, "change in force everywhere after: %s\n", r.InForce.Round(time.Millisecond))
-	_, _ = fmt.Fprintf(out, "requests to a leaving server later than %s after the fleet could know: %d\n", emulator.LeavingLimit, r.LateWork)
 }
 
 // broken returns an error for each promise that was broken.
--- a/cmd/standin/demonstrator/traffic.go
+++ b/cmd/standin/demonstrator/traffic.go
@@ -55,7 +55,8 @@
 
 // Traffic sends work to a fleet and checks every answer.
 type Traffic struct {
-	fleet *Fleet
+	// runs returns how often the order with a key ran.
+	runs func(key string) int
 	// callers take turns; each asks for entry answers on its own.
 	callers []*caller.Caller
 
@@ -71,14 +72,10 @@
 // callerCount is how many accounts send.
 const callerCount = 16
 
-// NewTraffic returns traffic of several accounts that know every instance
-// of the fleet as it is now.
-func NewTraffic(fleet *Fleet) *Traffic {
-	var seeds []string
-	for _, instance := range fleet.Instances() {
-		seeds = append(seeds, instance.CallerAddress())
-	}
-	t := &Traffic{fleet: fleet, tallies: make(map[lagoonstile.Rank]*Tally)}
+// NewTraffic returns traffic of several accounts that know instances at the
+// given addresses. The function tells how often the order with a key ran.
+func NewTraffic(seeds []string, runs func(key string) int) *Traffic {
+	t := &Traffic{runs: runs, tallies: make(map[lagoonstile.Rank]*Tally)}
 	transport := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
 	for i := range callerCount {
 		t.callers = append(t.callers, &caller.Caller{
@@ -90,6 +87,15 @@
 	return t
 }
 
+// CallerAddresses returns where the fleet's instances listen for callers.
+func (f *Fleet) CallerAddresses() []string {
+	var addresses []string
+	for _, instance := range f.Instances() {
+		addresses = append(addresses, instance.CallerAddress())
+	}
+	return addresses
+}
+
 // Send sends the work at its pace until the context ends, and returns when
 // every request has ended.
 func (t *Traffic) Send(ctx context.Context, works []Work) {
@@ -204,7 +210,7 @@
 	tally := *t.tally(rank)
 	tally.times = slices.Clone(tally.times)
 	for _, key := range t.refused {
-		if rank == lagoonstile.RankOrders && t.fleet.Ledger.Runs(key) > 0 {
+		if rank == lagoonstile.RankOrders && t.runs(key) > 0 {
 			tally.FalseNotRun++
 		}
 	}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -269,7 +269,6 @@
 			Draining:    server.target.Live.Draining() || peers.Draining,
 			PeerEjected: peers.Ejected,
 		}
-		service.setPeerLoad(server, peers.InFlight)
 	}
 	changed, changes := service.tick(now, s.self.Instance, notices)
 	for _, change := range changes {
--- a/controller/service.go
+++ b/controller/service.go
@@ -126,16 +126,6 @@
 	return decisions
 }
 
-// setPeerLoad notes what peers have in flight at a server.
-func (v *service) setPeerLoad(server *server, inFlight int) {
-	if server.target.PeerLoad == inFlight {
-		return
-	}
-	next := *server.target
-	next.PeerLoad = inFlight
-	server.target = &next
-}
-
 // tick reads counts and decides. It reports whether the entry changed.
 func (v *service) tick(now time.Time, self lagoonstile.InstanceID, notices map[lagoonstile.ServerID]ejector.Notice) (bool, []ejector.Change) {
 	v.observe(self)
@@ -274,7 +264,6 @@
 		Key:      s.key,
 		Good:     s.past.Good,
 		Bad:      s.past.Bad + s.past.Slow,
-		InFlight: uint32(max(s.target.Live.InFlight(), 0)),
 		Draining: s.target.Live.Draining(),
 		Ejected:  s.state == ejector.StateEjected,
 	}
--- a/controller/status.go
+++ b/controller/status.go
@@ -26,7 +26,6 @@
 	Weight   float64              `json:"weight"`
 	Limit    int                  `json:"limit"`
 	InFlight int                  `json:"in-flight"`
-	PeerLoad int                  `json:"peers-in-flight"`
 	Good     uint64               `json:"good"`
 	Bad      uint64               `json:"bad"`
 	Link     uint64               `json:"link-failures"`
@@ -61,7 +60,6 @@
 			Weight:   server.target.Weight,
 			Limit:    server.target.Limit,
 			InFlight: server.target.Live.InFlight(),
-			PeerLoad: server.target.PeerLoad,
 			Good:     totals.Good,
 			Bad:      totals.Bad + totals.Slow,
 			Link:     totals.Link,
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -19,8 +19,10 @@
 //
 // # The baseline
 //
-// The failure rate of the other servers is the larger one of a long and a short
-// average. The short one makes a bad caller, a bad class of requests or a
+// The failure rate of the other servers is the mean of theirs, each server with
+// one vote: servers that fail at once answer fast, get more traffic for it, and
+// would outvote the healthy ones by their number of answers. It is the larger
+// one of a long and a short average. The short one makes a bad caller, a bad class of requests or a
 // common dependency raise everybody's baseline within a few answers, so that
 // it convicts nobody. The score of an excursion is worked out anew from its
 // counts with the baseline of now: what looked strange when it came does not
@@ -80,6 +82,15 @@
 	// word of a single one. A server that fails half of its work gives as many
 	// to an unlucky one in 32 only.
 	contradiction = 5
+	// recentHalfLife is that of the good answers that contradict. It spans the
+	// time between two reports of an origin's good answers, so that a bad
+	// report, which comes at once, is weighed against those on their way.
+	recentHalfLife = 2 * time.Second
+	// steerScore is the share of the threshold at which an instance goes around
+	// a server for a while by its own evidence. That costs little if wrong.
+	steerScore = 0.7
+	// activeSpan is how long a server without answers counts for the baseline.
+	activeSpan = 10 * time.Second
 )
 
 // Service is the test over the servers of one service. It is not safe for
@@ -105,8 +116,12 @@
 	link        excursion
 	// streak counts good answers since the last bad one or Forgive.
 	streak uint64
-	// origins splits merged by origin.
+	// origins splits merged by origin, and recent holds the good answers of
+	// each origin lately.
 	origins map[Origin]excursion
+	recent  map[Origin]float64
+	// answered is when the last answer was seen.
+	answered time.Time
 	// long and short are averages over all answers ever, trials included.
 	long, short average
 	// pending is what came in since the last evaluation.
@@ -155,7 +170,7 @@
 	for _, id := range ids {
 		next := s.servers[id]
 		if next == nil {
-			next = &server{id: id, origins: make(map[Origin]excursion)}
+			next = &server{id: id, origins: make(map[Origin]excursion), recent: make(map[Origin]float64)}
 		}
 		kept[id] = next
 		s.order = append(s.order, next)
@@ -180,6 +195,7 @@
 	from := server.origins[origin]
 	from.add(good, bad)
 	server.origins[origin] = from
+	server.recent[origin] += good
 	if origin == s.self {
 		server.own.add(good, bad)
 		server.link.add(good+bad, float64(evidence.Link))
@@ -204,13 +220,15 @@
 func (s *Service) Evaluate(now time.Time, falseEjectionsPerWeek float64) []Finding {
 	s.age(now)
 	threshold := s.threshold(falseEjectionsPerWeek)
-	var totals sums
+	var votes votes
 	for _, server := range s.order {
-		totals.add(server)
+		votes.add(server, now, 1)
 	}
 	findings := make([]Finding, 0, len(s.order))
 	for _, server := range s.order {
-		findings = append(findings, server.find(totals.without(server).baseline(), threshold))
+		others := votes
+		others.add(server, now, -1)
+		findings = append(findings, server.find(others.baseline(), threshold))
 	}
 	return findings
 }
@@ -231,7 +249,7 @@
 	arrived := 0.0
 	for _, server := range s.order {
 		arrived += server.pending.total
-		server.age(elapsed)
+		server.age(now, elapsed)
 	}
 	if elapsed <= 0 {
 		return
@@ -243,7 +261,11 @@
 	s.rate += weight * (arrived/elapsed.Seconds() - s.rate)
 }
 
-func (v *server) age(elapsed time.Duration) {
+func (v *server) age(now time.Time, elapsed time.Duration) {
+	if v.pending.total > 0 {
+		v.answered = now
+	}
+	v.ageRecent(elapsed)
 	v.long.decay(elapsed, longHalfLife, 0)
 	v.short.decay(elapsed, shortHalfLife, shortAnswers)
 	v.long.add(v.pending)
@@ -251,6 +273,17 @@
 	v.pending = average{}
 }
 
+func (v *server) ageRecent(elapsed time.Duration) {
+	factor := math.Exp2(-elapsed.Seconds() / recentHalfLife.Seconds())
+	for origin, good := range v.recent {
+		if good *= factor; good < 0.5 {
+			delete(v.recent, origin)
+			continue
+		}
+		v.recent[origin] = good
+	}
+}
+
 // find settles the excursions and tells what they show.
 func (v *server) find(baseline, threshold float64) Finding {
 	failing := math.Max(failingRate, (1+baseline)/2)
@@ -268,7 +301,7 @@
 		Threshold:    threshold,
 		Convicted:    score >= threshold && corroborated,
 		Corroborated: corroborated,
-		Steer:        own >= threshold || link >= threshold,
+		Steer:        math.Max(own, link) >= steerScore*threshold,
 		Good:         int(v.merged.good),
 		Bad:          int(v.merged.bad),
 		Origins:      accusers,
@@ -280,13 +313,16 @@
 }
 
 // sides returns how many origins saw bad answers, and how many good ones the
-// others saw.
+// others saw lately.
 func (v *server) sides() (accusers int, contradicting float64) {
 	for _, from := range v.origins {
 		if from.bad > 0 {
 			accusers++
-		} else {
-			contradicting += from.good
+		}
+	}
+	for origin, good := range v.recent {
+		if v.origins[origin].bad == 0 {
+			contradicting += good
 		}
 	}
 	return accusers, contradicting
@@ -329,22 +365,25 @@
 	return (a.bad + priorWeight*baselineFloor) / (a.total + priorWeight)
 }
 
-// sums adds up the averages of several servers.
-type sums struct{ long, short average }
-
-func (t *sums) add(server *server) {
-	t.long.add(server.long)
-	t.short.add(server.short)
-}
+// votes adds up the failure rates of several servers, one vote each.
+type votes struct{ servers, long, short float64 }
 
-func (t sums) without(server *server) sums {
-	t.long.add(average{total: -server.long.total, bad: -server.long.bad})
-	t.short.add(average{total: -server.short.total, bad: -server.short.bad})
-	return t
+// add counts a server's vote once more, or takes it out with a weight of -1. A
+// server that has given no answer lately has none.
+func (t *votes) add(server *server, now time.Time, weight float64) {
+	if server.answered.IsZero() || now.Sub(server.answered) > activeSpan {
+		return
+	}
+	t.servers += weight
+	t.long += weight * server.long.share()
+	t.short += weight * server.short.share()
 }
 
-// baseline returns the failure rate that the servers summed up show.
-func (t sums) baseline() float64 {
-	share := math.Max(t.long.share(), t.short.share())
+// baseline returns the failure rate that the votes show.
+func (t votes) baseline() float64 {
+	if t.servers < 1 {
+		return baselineFloor
+	}
+	share := math.Max(t.long, t.short) / t.servers
 	return math.Min(math.Max(share, baselineFloor), 0.99)
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -120,6 +120,17 @@
 	return homes
 }
 
+// Keys returns how many keys this instance remembers.
+func (d *Dispatcher) Keys() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, table := range d.tables() {
+		n += table.Len()
+	}
+	return n
+}
+
 // HomeID names an incarnation over all of its epochs.
 func HomeID(home lagoonstile.Home) string {
 	return string(home.Instance) + "." + string(home.Incarnation)
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -47,10 +47,8 @@
 type Report struct {
 	Key Key `cbor:"1,keyasint"`
 	// Good and Bad count answers.
-	Good uint64 `cbor:"2,keyasint,omitempty"`
-	Bad  uint64 `cbor:"3,keyasint,omitempty"`
-	// InFlight is how many requests the origin has at the server.
-	InFlight uint32 `cbor:"4,keyasint,omitempty"`
+	Good     uint64 `cbor:"2,keyasint,omitempty"`
+	Bad      uint64 `cbor:"3,keyasint,omitempty"`
 	Draining bool   `cbor:"5,keyasint,omitempty"`
 	Ejected  bool   `cbor:"6,keyasint,omitempty"`
 }
@@ -242,7 +240,6 @@
 
 // Around is what the live peers say of one server.
 type Around struct {
-	InFlight          int
 	Draining, Ejected bool
 }
 
@@ -252,7 +249,6 @@
 	for _, peer := range v.Alive(now) {
 		for key, report := range peer.Reports {
 			around := out[key]
-			around.InFlight += int(report.InFlight)
 			around.Draining = around.Draining || report.Draining
 			around.Ejected = around.Ejected || report.Ejected
 			out[key] = around
--- a/gossiper/gossiper_test.go
+++ b/gossiper/gossiper_test.go
@@ -99,7 +99,6 @@
 		urgent bool
 	}{
 		{"good answers", func(r *gossiper.Report) { r.Good++ }, false},
-		{"load", func(r *gossiper.Report) { r.InFlight++ }, false},
 		{"bad answers", func(r *gossiper.Report) { r.Bad++ }, true},
 		{"draining", func(r *gossiper.Report) { r.Draining = true }, true},
 		{"ejected", func(r *gossiper.Report) { r.Ejected = true }, true},
@@ -121,9 +120,9 @@
 func TestSilentPeersAgeOut(t *testing.T) {
 	now := time.Unix(0, 0)
 	var view gossiper.View
-	view.Merge(now, gossiper.Digest{Origin: "proxy-1", Full: true, Reports: []gossiper.Report{{Key: 1, InFlight: 4, Draining: true}}})
+	view.Merge(now, gossiper.Digest{Origin: "proxy-1", Full: true, Reports: []gossiper.Report{{Key: 1, Ejected: true, Draining: true}}})
 	around := view.Around(now)[1]
-	if around != (gossiper.Around{InFlight: 4, Draining: true}) {
+	if around != (gossiper.Around{Ejected: true, Draining: true}) {
 		t.Errorf("around %+v", around)
 	}
 	if late := view.Around(now.Add(gossiper.PeerTimeout + 1)); len(late) > 0 {
--- a/linker/link.go
+++ b/linker/link.go
@@ -161,7 +161,7 @@
 	if conn == nil {
 		return fmt.Errorf("instance %s: %w", k.peer, ErrNoLink)
 	}
-	return write(conn, message)
+	return k.linker.write(conn, message)
 }
 
 // call sends a call and waits for its return, the end of the connection or of
@@ -179,7 +179,7 @@
 	k.waiting[call.ID] = answer
 	k.mu.Unlock()
 	defer k.forget(call.ID)
-	if err := write(conn, Message{Call: &call}); err != nil {
+	if err := k.linker.write(conn, Message{Call: &call}); err != nil {
 		return nil, err
 	}
 	select {
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
 	"github.com/lesismal/nbio/nbhttp"
 	"github.com/lesismal/nbio/nbhttp/websocket"
 
@@ -99,6 +100,8 @@
 	// opened hands what the accepting goroutine wrote to the reading one, as in
 	// package listener.
 	opened atomic.Uint64
+	// sent counts the bytes of messages to peers.
+	sent atomic.Int64
 
 	mu     sync.Mutex
 	links  map[lagoonstile.InstanceID]*link
@@ -109,6 +112,7 @@
 
 // Listen starts to take links on an IP:port. No peer is dialled before SetPeers.
 func Listen(address string, self lagoonstile.InstanceID, incarnation lagoonstile.Incarnation, handler Handler, log *slog.Logger) (*Linker, error) {
+	logging.SetLevel(logging.LevelNone)
 	l := &Linker{
 		self:        self,
 		incarnation: incarnation,
@@ -189,6 +193,9 @@
 	return out
 }
 
+// SentBytes returns the bytes of all messages to peers so far.
+func (l *Linker) SentBytes() int64 { return l.sent.Load() }
+
 // Send says something to a peer. It reports false when there is no link.
 func (l *Linker) Send(to lagoonstile.InstanceID, message Message) bool {
 	link := l.link(to)
@@ -291,7 +298,7 @@
 	default:
 		ret.Refused = "unknown call"
 	}
-	if err := write(conn, Message{Return: ret}); err != nil {
+	if err := l.write(conn, Message{Return: ret}); err != nil {
 		l.log.Warn("return-not-sent", "cause", err)
 	}
 }
@@ -312,7 +319,8 @@
 	return upgrader
 }
 
-func write(conn *websocket.Conn, message Message) error {
+// write sends one message.
+func (l *Linker) write(conn *websocket.Conn, message Message) error {
 	data, err := encoder.Encode(message)
 	if err != nil {
 		return err
@@ -320,6 +328,7 @@
 	if len(data) > MaxMessageBytes {
 		return fmt.Errorf("message of %d bytes is over %d", len(data), MaxMessageBytes)
 	}
+	l.sent.Add(int64(len(data)))
 	if err := conn.WriteMessage(websocket.BinaryMessage, data); err != nil {
 		return fmt.Errorf("write to %s: %w", remoteOf(conn), err)
 	}
--- a/picker/picker.go
+++ b/picker/picker.go
@@ -27,14 +27,13 @@
 	// Limit is how many requests of this instance the server takes at once. At
 	// least 1.
 	Limit int
-	// PeerLoad is how many requests the other instances last said they have in
-	// flight at the server.
-	PeerLoad int
 }
 
-// Load returns the requests in flight, ours and the peers' last reported.
+// Load returns this instance's requests in flight. What peers have in flight is
+// left out on purpose: by the time it is heard it is history, and instances
+// that all steer by the same history flock to the same server.
 func (t *Target) Load() int {
-	return t.Live.InFlight() + t.PeerLoad
+	return t.Live.InFlight()
 }
 
 // Full reports whether the server has as many requests of this instance as it
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -66,7 +66,9 @@
 		}, func(p *picker.Pool, got *picker.Target) bool { return got == p.Targets[1] }},
 		{"the near server has none", func(p *picker.Pool) []*picker.Target {
 			p.Near = p.Targets[1:2]
-			p.Targets[1].PeerLoad = 6
+			for range 6 {
+				p.Targets[1].Live.Begin()
+			}
 			return nil
 		}, func(p *picker.Pool, got *picker.Target) bool { return got != p.Targets[1] }},
 		{"a full server loses to one with room", func(p *picker.Pool) []*picker.Target {
--- a/runner/handlers.go
+++ b/runner/handlers.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"net/http"
+	"runtime"
 	"strconv"
 	"time"
 
@@ -99,6 +100,7 @@
 	mux.HandleFunc("GET "+PathStatus, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, i.Status()) })
 	mux.HandleFunc("GET "+PathMetrics, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		i.gauge()
 		_, _ = i.recorder.WriteTo(w)
 	})
 	mux.HandleFunc("GET "+PathAudit, func(w http.ResponseWriter, _ *http.Request) {
@@ -113,6 +115,23 @@
 	return mux
 }
 
+// gauge brings the gauges up to now. Reading the live memory collects garbage
+// first: the figure is what the instance holds, not what the runtime keeps.
+func (i *Instance) gauge() {
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	i.recorder.Gauge("process.live-bytes", int64(memory.HeapAlloc+memory.StackInuse))
+	i.recorder.Gauge("process.goroutines", int64(runtime.NumGoroutine()))
+	i.recorder.Gauge("callers.connections", int64(i.callers.Connections()))
+	i.recorder.Gauge("peers.connected", int64(len(i.peers.linker.Connected())))
+	running, waiting := i.gate.Load()
+	i.recorder.Gauge("requests.running", int64(running))
+	i.recorder.Gauge("requests.waiting", int64(waiting))
+	i.recorder.Gauge("orders.keys", int64(i.dispatcher.Keys()))
+	i.recorder.Gauge("peers.sent-bytes", i.peers.linker.SentBytes())
+}
+
 // Status returns the instance's state as operators see it.
 func (i *Instance) Status() Status {
 	status := Status{Instance: i.self.Instance, Incarnation: i.self.Incarnation, FailureDomain: i.self.FailureDomain}
