Compare an excursion with what the other servers gave since it began

Their findings showed three causes: the averages saw a burst only after it had convicted; once it was over, what it had left was judged by the healthy baseline; and at 2 requests a second a bad caller's share never got into any average.

Digests send good answers in turns, 64 a second, and gossip runs every 200 ms.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export GOFLAGS := -buildvcs=false
 export CGO_ENABLED := 1
 
-.PHONY: build demo test check fuzz bench soak
+.PHONY: build demo test check fuzz bench soak measure slopes
 
 build:
 	go build -o bin/ ./cmd/lagoonstile ./cmd/lagoonctl ./cmd/standin
@@ -30,3 +30,11 @@
 
 soak: build
 	./scripts/soak.sh
+
+# Measurements of the decisions in virtual time, and of what grows with size.
+measure:
+	go test -run xxx -bench . -benchtime 1x -timeout 30m ./cmd/standin/measurer
+
+slopes:
+	go test -run xxx -bench 'Slope' -benchtime 20x ./controller
+	go test -run xxx -bench 'Pick|Evaluate|Slope' ./picker ./detector ./deduplicator ./scheduler
--- a/cmd/standin/measurer/policies.go
+++ b/cmd/standin/measurer/policies.go
@@ -19,7 +19,7 @@
 // Timing of the instances, as in the daemon.
 const (
 	tickInterval   = 100 * time.Millisecond
-	gossipInterval = 100 * time.Millisecond
+	gossipInterval = 200 * time.Millisecond
 	linkDelay      = time.Millisecond
 	serviceID      = lagoonstile.ServiceID("s")
 )
--- /dev/null
+++ b/deduplicator/slopes_test.go
@@ -0,0 +1,35 @@
+package deduplicator_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"lagoonstile/deduplicator"
+)
+
+// BenchmarkSlopeKeys is the time and memory of a key without its answer.
+func BenchmarkSlopeKeys(b *testing.B) {
+	for _, size := range []int{100, 1000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			var before, after runtime.MemStats
+			for b.Loop() {
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				table := deduplicator.New[string](now, "proxy-1", "9f2c01ab", deduplicator.Limits{Keys: size, KeptBytes: 1 << 20, Epoch: time.Hour})
+				for i := range size {
+					key := fmt.Sprintf("proxy-1.9f2c01ab.1.%036d", i)
+					table.Begin(now, key, 1, uint64(i))
+					table.Ran(key)
+				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				runtime.KeepAlive(table)
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size), "B/key")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(size), "ns/key")
+		})
+	}
+}
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -21,12 +21,15 @@
 //
 // The failure rate of the other servers is the mean of theirs, each server with
 // one vote: servers that fail at once answer fast, get more traffic for it, and
-// would outvote the healthy ones by their number of answers. It is the larger
-// one of a long and a short average. The short one makes a bad caller, a bad class of requests or a
+// would outvote the healthy ones by their number of answers. It is the largest
+// of a long, a short and a fast average. The last two make a bad caller, a bad class of requests or a
 // common dependency raise everybody's baseline within a few answers, so that
-// it convicts nobody. The score of an excursion is worked out anew from its
-// counts with the baseline of now: what looked strange when it came does not
-// count once it turns out that all servers did the same.
+// it convicts nobody. And an excursion is compared with what the others gave
+// since it began, too. The score is worked out twice, step by step with the
+// baseline of each moment, and anew from the excursion's counts with the
+// baseline of now, and the lower one counts: what looked strange when it came
+// does not count once it turns out that all servers did the same, nor what was
+// common when it came once the others are well again.
 //
 // # Two kinds of evidence
 //
@@ -67,7 +70,11 @@
 	linkFailing  = 0.9
 	// priorWeight is how many answers at the floor each average starts with.
 	priorWeight = 20
-	// shortHalfLife and longHalfLife are those of the averages.
+	// fastPriorWeight is the same for the fast average, which must show a burst
+	// that befalls all servers before it convicts the first one.
+	fastPriorWeight = 2
+	// The half-lives of the averages.
+	fastHalfLife  = 2 * time.Second
 	shortHalfLife = 5 * time.Second
 	longHalfLife  = 30 * time.Minute
 	// shortAnswers is how many answers the short average keeps however old.
@@ -91,6 +98,9 @@
 	steerScore = 0.7
 	// activeSpan is how long a server without answers counts for the baseline.
 	activeSpan = 10 * time.Second
+	// fewAnswers of the other servers are pooled; of more, each server has one
+	// vote.
+	fewAnswers = 200
 )
 
 // Service is the test over the servers of one service. It is not safe for
@@ -122,10 +132,18 @@
 	recent  map[Origin]float64
 	// answered is when the last answer was seen.
 	answered time.Time
-	// long and short are averages over all answers ever, trials included.
-	long, short average
-	// pending is what came in since the last evaluation.
-	pending average
+	// The averages over all answers ever, trials included.
+	long, short, fast average
+	// all counts every answer, and before is all without the latest ones.
+	all, before average
+	// since is what before was of each server when the excursion began, in the
+	// order of the servers; nil while there is no excursion.
+	since []average
+	// steps is the score by the baselines of each moment.
+	steps float64
+	// pending is what came in since the last evaluation, latest what had come
+	// in at that.
+	pending, latest average
 }
 
 // excursion counts answers since the score was last zero.
@@ -172,6 +190,8 @@
 		if next == nil {
 			next = &server{id: id, origins: make(map[Origin]excursion), recent: make(map[Origin]float64)}
 		}
+		// What others gave since an excursion began is counted by their place.
+		next.since = nil
 		kept[id] = next
 		s.order = append(s.order, next)
 	}
@@ -212,6 +232,8 @@
 	server.own = excursion{}
 	server.link = excursion{}
 	server.streak = 0
+	server.steps = 0
+	server.since = nil
 	clear(server.origins)
 }
 
@@ -228,11 +250,44 @@
 	for _, server := range s.order {
 		others := votes
 		others.add(server, now, -1)
-		findings = append(findings, server.find(others.baseline(), threshold))
+		baseline := math.Max(others.baseline(), s.sinceBaseline(server))
+		findings = append(findings, server.find(baseline, threshold))
 	}
 	return findings
 }
 
+// sinceBaseline returns the failure rate of the others since the server's
+// excursion began.
+func (s *Service) sinceBaseline(server *server) float64 {
+	if server.merged.bad == 0 {
+		return 0
+	}
+	if len(server.since) != len(s.order) {
+		server.since = make([]average, len(s.order))
+		for i, other := range s.order {
+			server.since[i] = other.before
+		}
+	}
+	var pooled average
+	votes, servers := 0.0, 0.0
+	for i, other := range s.order {
+		if other == server {
+			continue
+		}
+		recent := other.all
+		recent.add(average{total: -server.since[i].total, bad: -server.since[i].bad})
+		pooled.add(recent)
+		if recent.total > 0 {
+			votes += recent.share(fastPriorWeight)
+			servers++
+		}
+	}
+	if pooled.total < fewAnswers {
+		return pooled.share(fastPriorWeight)
+	}
+	return votes / servers
+}
+
 // threshold returns the score that convicts.
 func (s *Service) threshold(falseEjectionsPerWeek float64) float64 {
 	answers := math.Max(s.rate, leastRate) * week.Seconds()
@@ -268,8 +323,13 @@
 	v.ageRecent(elapsed)
 	v.long.decay(elapsed, longHalfLife, 0)
 	v.short.decay(elapsed, shortHalfLife, shortAnswers)
+	v.fast.decay(elapsed, fastHalfLife, 0)
 	v.long.add(v.pending)
 	v.short.add(v.pending)
+	v.fast.add(v.pending)
+	v.before = v.all
+	v.all.add(v.pending)
+	v.latest = v.pending
 	v.pending = average{}
 }
 
@@ -287,8 +347,11 @@
 // find settles the excursions and tells what they show.
 func (v *server) find(baseline, threshold float64) Finding {
 	failing := math.Max(failingRate, (1+baseline)/2)
-	score := v.merged.settle(baseline, failing)
+	score := math.Min(v.merged.score(baseline, failing), v.step(baseline, failing))
 	if score == 0 {
+		v.merged = excursion{}
+		v.steps = 0
+		v.since = nil
 		clear(v.origins)
 	}
 	accusers, contradicting := v.sides()
@@ -306,12 +369,20 @@
 		Bad:          int(v.merged.bad),
 		Origins:      accusers,
 		Streak:       int(v.streak),
-		BadShare:     v.short.share(),
+		BadShare:     v.short.share(priorWeight),
 		Baseline:     baseline,
 		LinkFailures: int(v.link.bad),
 	}
 }
 
+// step adds the latest answers to the score by the baselines of each moment.
+func (v *server) step(baseline, failing float64) float64 {
+	latest := excursion{good: v.latest.total - v.latest.bad, bad: v.latest.bad}
+	v.latest = average{}
+	v.steps = math.Max(v.steps+latest.ratio(baseline, failing), 0)
+	return v.steps
+}
+
 // sides returns how many origins saw bad answers, and how many good ones the
 // others saw lately.
 func (v *server) sides() (accusers int, contradicting float64) {
@@ -333,12 +404,21 @@
 	e.bad += bad
 }
 
-// settle returns the score, and starts anew when it is not over zero.
+// ratio returns the log-likelihood ratio of the counts.
+func (e *excursion) ratio(baseline, failing float64) float64 {
+	return e.bad*math.Log(failing/baseline) + e.good*math.Log((1-failing)/(1-baseline))
+}
+
+// score returns the ratio if it is over zero.
+func (e *excursion) score(baseline, failing float64) float64 {
+	return math.Max(e.ratio(baseline, failing), 0)
+}
+
+// settle returns the score, and starts anew when it is zero.
 func (e *excursion) settle(baseline, failing float64) float64 {
-	score := e.bad*math.Log(failing/baseline) + e.good*math.Log((1-failing)/(1-baseline))
-	if score <= 0 {
+	score := e.score(baseline, failing)
+	if score == 0 {
 		*e = excursion{}
-		return 0
 	}
 	return score
 }
@@ -360,13 +440,14 @@
 	a.bad += other.bad
 }
 
-// share returns the share of bad answers, with the prior mixed in.
-func (a average) share() float64 {
-	return (a.bad + priorWeight*baselineFloor) / (a.total + priorWeight)
+// share returns the share of bad answers, with a prior of so many answers mixed
+// in.
+func (a average) share(prior float64) float64 {
+	return (a.bad + prior*baselineFloor) / (a.total + prior)
 }
 
 // votes adds up the failure rates of several servers, one vote each.
-type votes struct{ servers, long, short float64 }
+type votes struct{ servers, long, short, fast float64 }
 
 // add counts a server's vote once more, or takes it out with a weight of -1. A
 // server that has given no answer lately has none.
@@ -375,8 +456,9 @@
 		return
 	}
 	t.servers += weight
-	t.long += weight * server.long.share()
-	t.short += weight * server.short.share()
+	t.long += weight * server.long.share(priorWeight)
+	t.short += weight * server.short.share(priorWeight)
+	t.fast += weight * server.fast.share(fastPriorWeight)
 }
 
 // baseline returns the failure rate that the votes show.
@@ -384,6 +466,6 @@
 	if t.servers < 1 {
 		return baselineFloor
 	}
-	share := math.Max(t.long, t.short) / t.servers
+	share := max(t.long, t.short, t.fast) / t.servers
 	return math.Min(math.Max(share, baselineFloor), 0.99)
 }
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -89,9 +89,12 @@
 // Timing of the exchange.
 const (
 	// UrgentInterval is how often a peer is told of bad answers and notices.
-	UrgentInterval = 200 * time.Millisecond
+	UrgentInterval = 150 * time.Millisecond
 	// LoadInterval is how often a peer is told of load and good answers.
 	LoadInterval = time.Second
+	// calmReports bounds the reports of good answers in one digest. In a large
+	// cell servers take turns, so that the rate does not grow with their number.
+	calmReports = 64
 	// PeerTimeout is how long a silent origin is taken to be there.
 	PeerTimeout = 3 * time.Second
 )
@@ -103,6 +106,8 @@
 	leaving  bool
 	lastFull time.Time
 	last     time.Time
+	// turn is where the reports of good answers go on.
+	turn int
 }
 
 // Next returns the digest for the peer out of this instance's whole state, and
@@ -117,7 +122,7 @@
 	if next.Full {
 		s.told = make(map[Key]Report)
 	}
-	next.Reports = s.changed(whole.Reports, due)
+	next.Reports = s.changed(whole.Reports, due, next.Full)
 	if !due && len(next.Reports) == 0 {
 		return Digest{}, false
 	}
@@ -133,18 +138,28 @@
 }
 
 // changed returns the reports that the peer must be told: urgent ones at once,
-// the others when a load digest is due.
-func (s *Sender) changed(reports []Report, due bool) []Report {
+// the others in turns when a load digest is due, and all of them in a full one.
+func (s *Sender) changed(reports []Report, due, full bool) []Report {
+	if full {
+		return reports
+	}
 	var out []Report
-	for _, report := range reports {
+	calm := 0
+	for i := range reports {
+		at := (s.turn + i) % len(reports)
+		report := reports[at]
 		told := s.told[report.Key]
 		told.Key = report.Key
-		if report == told {
-			continue
-		}
 		urgent := report.Bad != told.Bad || report.Draining != told.Draining || report.Ejected != told.Ejected
-		if urgent || due {
+		switch {
+		case urgent:
+			out = append(out, report)
+		case due && report != told && calm < calmReports:
 			out = append(out, report)
+			calm++
+			if calm == calmReports {
+				s.turn = at + 1
+			}
 		}
 	}
 	return out
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -16,7 +16,7 @@
 
 // Timing of the exchange with peers.
 const (
-	gossipInterval = 100 * time.Millisecond
+	gossipInterval = 200 * time.Millisecond
 	// offerAfter is how long a peer may be behind before it is sent the
 	// configuration: with the log there it catches up by itself.
 	offerAfter = time.Second
