--- a/runner/handlers.go
+++ b/runner/handlers.go
@@ -169,3 +169,6 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	_, _ = w.Write(data) // A caller that is gone needs no answer.
 }
+
+// SentBytes returns the bytes of all messages to peers so far.
+func (i *Instance) SentBytes() int64 { return i.peers.linker.SentBytes() }
