--- a/caller/caller.go
+++ b/caller/caller.go
@@ -37,6 +37,8 @@
 	ErrUnknown = errors.New("outcome unknown")
 	// ErrNotRun: the request did not run.
 	ErrNotRun = errors.New("not run")
+	// ErrRan: the order ran, and its answer is no longer kept.
+	ErrRan = errors.New("ran before")
 	// ErrNoFleet: no address of the fleet answered.
 	ErrNoFleet = errors.New("no address of the fleet answers")
 )
@@ -130,7 +132,7 @@
 }
 
 // Order sends a request that must not run twice. The error is ErrNotRun,
-// ErrUnknown, or that of the context; the answer has the key in each case once
+// ErrRan, ErrUnknown, or that of the context; the answer has the key in each case once
 // there is one.
 func (c *Caller) Order(ctx context.Context, req Request) (*Answer, error) {
 	ctx, cancel := withDeadline(ctx)
@@ -190,6 +192,8 @@
 		return nil
 	case answerer.OutcomeNotRun:
 		return fmt.Errorf("%w: %s", ErrNotRun, kind)
+	case answerer.OutcomeRan:
+		return fmt.Errorf("%w: %s", ErrRan, kind)
 	}
 	return fmt.Errorf("%w: %s", ErrUnknown, kind)
 }
--- a/cmd/standin/demonstrator/bench.go
+++ b/cmd/standin/demonstrator/bench.go
@@ -27,8 +27,10 @@
 	warmUp = time.Second
 	// paceRate is a node's share of the letter's peak: 1.6 million requests a
 	// second over 3,200 nodes.
-	paceRate  = 500
-	idleConns = 2000
+	paceRate    = 500
+	idleConns   = 2000
+	activeConns = 500
+	waitPath    = "/bench/wait"
 )
 
 // Bench measures requests a second and times of one instance, against going to
@@ -55,7 +57,12 @@
 	return benchMemory(ctx, out, world.Listed[0])
 }
 
-func answerShort(w http.ResponseWriter, _ *http.Request) {
+// answerShort answers at once, or for /bench/wait when the caller is gone.
+func answerShort(w http.ResponseWriter, req *http.Request) {
+	if req.URL.Path == waitPath {
+		<-req.Context().Done()
+		return
+	}
 	w.Header().Set("Content-Length", "3")
 	_, _ = io.WriteString(w, "ok\n")
 }
@@ -184,25 +191,47 @@
 		}
 	}()
 	for range idleConns {
-		conn, err := net.Dial("tcp", instance.CallerAddress)
+		conn, err := ask(instance.CallerAddress, "/bench")
 		if err != nil {
 			return err
 		}
 		conns = append(conns, conn)
-		_, _ = io.WriteString(conn, "GET /bench HTTP/1.1\r\nHost: bench\r\n\r\n")
 		if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
 			return err
 		}
 	}
-	after, err := memoryOf(ctx, instance)
+	idle, err := memoryOf(ctx, instance)
+	if err != nil {
+		return err
+	}
+	for range activeConns {
+		conn, err := ask(instance.CallerAddress, waitPath)
+		if err != nil {
+			return err
+		}
+		conns = append(conns, conn)
+	}
+	wait(ctx, time.Second)
+	active, err := memoryOf(ctx, instance)
 	if err != nil {
 		return err
 	}
-	_, _ = fmt.Fprintf(out, "live heap and stacks of the instance: %d KB, with %d idle connections %d KB: %.1f KB each\n",
-		before>>10, idleConns, after>>10, float64(after-before)/1024/idleConns)
+	_, _ = fmt.Fprintf(out, "live heap and stacks of the instance: %d KB\n", before>>10)
+	_, _ = fmt.Fprintf(out, "with %d idle connections: %d KB, %.1f KB each\n", idleConns, idle>>10, float64(idle-before)/1024/idleConns)
+	_, _ = fmt.Fprintf(out, "and %d with a request in flight: %d KB, %.1f KB each\n", activeConns, active>>10, float64(active-idle)/1024/activeConns)
 	return nil
 }
 
+// ask opens a connection and sends one request.
+func ask(address, path string) (net.Conn, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: bench\r\n\r\n")
+	return conn, err
+}
+
 // memoryOf reads an instance's gauge of live heap and stacks, in bytes.
 func memoryOf(ctx context.Context, instance lagoonstile.Instance) (int64, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+instance.AdminAddress+"/metrics", nil)
--- a/cmd/standin/measurer/policies.go
+++ b/cmd/standin/measurer/policies.go
@@ -48,7 +48,7 @@
 			picker:  picker.TwoChoices{Random: rand.New(rand.NewPCG(w.random.Uint64(), 2))},
 			senders: map[*controlled]*gossiper.Sender{},
 		}
-		c.state.SetSelf(controller.Identity{
+		c.state.SetSelf(w.Now, controller.Identity{
 			Instance:      lagoonstile.InstanceID(fmt.Sprintf("proxy-%02d", n)),
 			Incarnation:   "i",
 			FailureDomain: domainOf(n),
--- a/configurer/configurer.go
+++ b/configurer/configurer.go
@@ -192,11 +192,6 @@
 	return &lagoonstile.Snapshot{Configuration: f.cfg, Next: f.next, Recent: slices.Clone(f.recent)}, true
 }
 
-// Fate returns what became of a change that was appended before.
-func (f *Fold) Fate(id lagoonstile.ChangeID) (lagoonstile.Accepted, bool) {
-	return f.accepted(id)
-}
-
 func (f *Fold) accepted(id lagoonstile.ChangeID) (lagoonstile.Accepted, bool) {
 	for _, past := range f.recent {
 		if past.ID == id {
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -100,7 +100,10 @@
 
 // SetSelf settles who the instance is, once its listeners have addresses. It
 // must be called before any event.
-func (s *State) SetSelf(self Identity) { s.self = self }
+func (s *State) SetSelf(now time.Time, self Identity) {
+	s.self = self
+	s.audit.Add(auditor.Event{At: now, Instance: self.Instance, Kind: auditor.KindStarted, Detail: "incarnation=" + string(self.Incarnation)})
+}
 
 // SetLeaving notes that this instance is leaving.
 func (s *State) SetLeaving() { s.leaving = true }
@@ -270,7 +273,13 @@
 			PeerEjected: peers.Ejected,
 		}
 	}
-	changed, changes := service.tick(now, s.self.Instance, notices)
+	for _, cut := range service.observe(now, s.self.Instance) {
+		s.audit.Add(auditor.Event{
+			At: now, Instance: s.self.Instance, Kind: auditor.KindLimitChanged, Service: service.rules.ID, Server: cut.server,
+			Version: s.Version(), Detail: fmt.Sprintf("limit=%d shed=%d", cut.limit, cut.shed),
+		})
+	}
+	changed, changes := service.tick(now, notices)
 	for _, change := range changes {
 		s.audit.Add(s.event(now, service, change))
 	}
--- a/controller/service.go
+++ b/controller/service.go
@@ -51,6 +51,18 @@
 	limit  *limiter.Limit
 	past   counter.Totals
 	state  ejector.State
+	// cutTold is when the audit trail was last told of a cut of the limit.
+	cutTold time.Time
+}
+
+// cutInterval is how often the audit trail is told of cuts of one limit.
+const cutInterval = 10 * time.Second
+
+// cut is a limit that fell because its server shed requests.
+type cut struct {
+	server lagoonstile.ServerID
+	shed   uint64
+	limit  int
 }
 
 func newService(self lagoonstile.InstanceID) *service {
@@ -126,23 +138,28 @@
 	return decisions
 }
 
-// tick reads counts and decides. It reports whether the entry changed.
-func (v *service) tick(now time.Time, self lagoonstile.InstanceID, notices map[lagoonstile.ServerID]ejector.Notice) (bool, []ejector.Change) {
-	v.observe(self)
+// tick decides on what observe has read. It reports whether the entry changed.
+func (v *service) tick(now time.Time, notices map[lagoonstile.ServerID]ejector.Notice) (bool, []ejector.Change) {
 	findings := v.detector.Evaluate(now, v.rules.FalseEjectionsPerWeek)
 	decisions, changes := v.ejector.Update(now, v.rules.MinServers(), findings, notices, v.detector.Forgive)
 	return v.rebuild(decisions), changes
 }
 
-// observe takes the counts since the last tick to the detector and limits.
-func (v *service) observe(self lagoonstile.InstanceID) {
+// observe takes the counts since the last tick to the detector and limits, and
+// returns the cuts of limits that the audit trail should be told of.
+func (v *service) observe(now time.Time, self lagoonstile.InstanceID) []cut {
+	var cuts []cut
 	var good uint64
 	var busy time.Duration
 	for _, server := range v.order {
 		totals := server.target.Live.Totals()
 		delta := totals.Minus(server.past)
 		server.past = totals
-		server.limit.Update(limiter.Period{Answered: delta.Good + delta.Bad, Shed: delta.Shed, Peak: server.target.Live.TakePeak()})
+		period := limiter.Period{Answered: delta.Good + delta.Bad, Shed: delta.Shed, Peak: server.target.Live.TakePeak()}
+		if server.limit.Update(period) && now.Sub(server.cutTold) >= cutInterval {
+			server.cutTold = now
+			cuts = append(cuts, cut{server: server.target.Server.ID, shed: delta.Shed, limit: server.limit.Value()})
+		}
 		if delta == (counter.Totals{}) {
 			continue
 		}
@@ -153,6 +170,7 @@
 	if good > 0 {
 		v.learnMean(busy / time.Duration(good))
 	}
+	return cuts
 }
 
 func (v *service) learnMean(mean time.Duration) {
--- a/controller/slopes_test.go
+++ b/controller/slopes_test.go
@@ -46,7 +46,7 @@
 		tb.Fatal(err)
 	}
 	s := New(rand.New(rand.NewPCG(1, 1)))
-	s.SetSelf(Identity{Instance: "proxy-1", Incarnation: "i", FailureDomain: "domain-1"})
+	s.SetSelf(time.Unix(0, 0), Identity{Instance: "proxy-1", Incarnation: "i", FailureDomain: "domain-1"})
 	s.Page(time.Unix(0, 0), lagoonstile.Page{Next: 1, Entries: []lagoonstile.Entry{{Data: data}}})
 	if s.Table() == nil {
 		tb.Fatal("nothing in force")
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -225,9 +225,6 @@
 	return delta, delta.Good+delta.Bad > 0
 }
 
-// Drop forgets a peer.
-func (v *View) Drop(id lagoonstile.InstanceID) { delete(v.peers, id) }
-
 // Alive returns the peers heard of lately, sorted by id.
 func (v *View) Alive(now time.Time) []*Peer {
 	var alive []*Peer
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -41,7 +41,7 @@
 	Peak int
 }
 
-// Update settles one period and reports whether the limit changed.
+// Update settles one period and reports whether the limit was cut.
 func (l *Limit) Update(period Period) bool {
 	before := l.Value()
 	switch {
@@ -50,7 +50,7 @@
 	case period.Answered > 0 && period.Peak >= before:
 		l.value = math.Min(l.most, l.value+1)
 	}
-	return l.Value() != before
+	return l.Value() < before
 }
 
 // Value returns the limit in requests. At least 1.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -134,7 +134,7 @@
 	}
 	i.self.CallerAddress = i.callers.Address()
 	i.self.PeerAddress = i.peers.linker.Address()
-	i.control.state.SetSelf(i.self)
+	i.control.state.SetSelf(time.Now(), i.self)
 	return nil
 }
 
