Count unanswered requests against the path, and hold less memory

(3) Adding to a full audit queue copied all of it.

Change: requests unanswered at the slow limit count for the path's test too, whose baseline is now the service's; buffers of 4 KB; no pools; the queue is cut at its front.

--- a/auditor/auditor.go
+++ b/auditor/auditor.go
@@ -74,13 +74,15 @@
 // Add puts an event into the trail.
 func (q *Queue) Add(event Event) {
 	q.waiting = append(q.waiting, event)
+	// Cutting off the front costs nothing; append moves what is left to a new
+	// array once in a while, so that a flood of events is not copied each time.
 	if excess := len(q.waiting) - queueEvents; excess > 0 {
-		q.waiting = append([]Event(nil), q.waiting[excess:]...)
+		q.waiting = q.waiting[excess:]
 		q.dropped += excess
 	}
 	q.recent = append(q.recent, event)
 	if excess := len(q.recent) - recentKept; excess > 0 {
-		q.recent = append([]Event(nil), q.recent[excess:]...)
+		q.recent = q.recent[excess:]
 	}
 }
 
--- a/controller/service.go
+++ b/controller/service.go
@@ -165,7 +165,7 @@
 		}
 		good += delta.Good
 		busy += delta.Busy
-		v.detector.Observe(server.target.Server.ID, self, detector.Evidence{Good: delta.Good, Bad: delta.Bad + delta.Slow, Link: delta.Link})
+		v.detector.Observe(server.target.Server.ID, self, detector.Evidence{Good: delta.Good, Bad: delta.Bad, Slow: delta.Slow, Link: delta.Link})
 	}
 	if good > 0 {
 		v.learnMean(busy / time.Duration(good))
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -33,7 +33,7 @@
 //
 // # Two kinds of evidence
 //
-// Answers (errors, truncated and slow ones) speak of the server. They are
+// Answers (errors, truncated and late ones) speak of the server. They are
 // merged over instances, and convict for all of them if two instances saw bad
 // ones, or if one did and the good answers of the others do not contradict it. Link failures speak of a path. They count
 // for the instance that saw them and for no other.
@@ -51,8 +51,12 @@
 
 // Evidence counts what one origin saw of one server in some time.
 type Evidence struct {
-	// Good and Bad count answers; slow ones are bad.
+	// Good and Bad count answers.
 	Good, Bad uint64
+	// Slow counts requests that were unanswered at the slow limit. They speak
+	// against the server as bad answers do, and against the path: nobody can
+	// tell yet whether an answer will come.
+	Slow uint64
 	// Link counts failures of the path.
 	Link uint64
 }
@@ -204,12 +208,12 @@
 	if server == nil {
 		return
 	}
-	good, bad := float64(evidence.Good), float64(evidence.Bad)
+	good, bad := float64(evidence.Good), float64(evidence.Bad+evidence.Slow)
 	server.merged.add(good, bad)
 	server.pending.total += good + bad
 	server.pending.bad += bad
 	server.streak += evidence.Good
-	if evidence.Bad > 0 {
+	if bad > 0 {
 		server.streak = 0
 	}
 	from := server.origins[origin]
@@ -218,7 +222,7 @@
 	server.recent[origin] += good
 	if origin == s.self {
 		server.own.add(good, bad)
-		server.link.add(good+bad, float64(evidence.Link))
+		server.link.add(float64(evidence.Good+evidence.Bad), float64(evidence.Link+evidence.Slow))
 	}
 }
 
@@ -357,7 +361,8 @@
 	accusers, contradicting := v.sides()
 	corroborated := accusers >= 2 || (accusers == 1 && contradicting < contradiction)
 	own := v.own.settle(baseline, failing)
-	link := v.link.settle(linkBaseline, linkFailing)
+	// While a service's servers fail alike, so may its paths.
+	link := v.link.settle(math.Min(math.Max(linkBaseline, baseline), linkFailing/2), linkFailing)
 	return Finding{
 		Server:       v.id,
 		Score:        score,
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -13,7 +13,9 @@
 	idleTimeout    = 90 * time.Second
 	// maxHeaderBytes bounds the head of a server's answer.
 	maxHeaderBytes = 256 << 10
-	bufferBytes    = 32 << 10
+	// bufferBytes is each of the two buffers of a connection. Pieces of large
+	// bodies pass them by, and there may be thousands of warm connections.
+	bufferBytes = 4 << 10
 )
 
 // transports holds one HTTP transport for each bound on connections. The zero
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -146,6 +146,9 @@
 		ReadLimit:               MaxMessageBytes,
 		MaxWriteBufferSize:      maxQueuedBytes,
 		ReleaseWebsocketPayload: true,
+		// A pool for the few goroutines of peers would cost 0.5 MB each.
+		ServerExecutor: func(f func()) { go f() },
+		ClientExecutor: func(f func()) { go f() },
 	}
 }
 
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -97,6 +97,8 @@
 		// One goroutine for each connection with a request in flight: a fixed
 		// pool would let slow requests keep urgent ones from being read.
 		ServerExecutor: func(f func()) { go f() },
+		// No connection is dialled here, and a pool for them would cost 0.5 MB.
+		ClientExecutor: func(f func()) { go f() },
 	})
 	l.engine.OnOpen(func(net.Conn) { l.opened.Add(1) })
 	l.engine.Engine.OnData(l.data)
