--- a/cmd/standin/demonstrator/session_test.go
+++ b/cmd/standin/demonstrator/session_test.go
@@ -81,6 +81,8 @@
 	}
 	for _, instance := range fleet.Instances() {
 		s.nameInstance(instance)
+		// What an instance reads before that is history to it.
+		s.await("the empty log was read", func() bool { return instance.Status().CaughtUp })
 	}
 	s.file("inventory.toml", fleet.Inventory())
 	s.file("rules.toml", sessionRules)
--- a/controller/cell.go
+++ b/controller/cell.go
@@ -16,6 +16,8 @@
 	// owners maps an incarnation, as "instance.incarnation", to the instance
 	// that has its order keys now.
 	owners map[string]lagoonstile.InstanceID
+	// SelfLeaving says that the instance list has this instance as leaving.
+	SelfLeaving bool
 }
 
 type cellPeer struct {
@@ -25,7 +27,10 @@
 
 // Cell returns the live peers as of now.
 func (s *State) Cell(now time.Time) *Cell {
-	cell := &Cell{owners: make(map[string]lagoonstile.InstanceID)}
+	cell := &Cell{
+		owners:      make(map[string]lagoonstile.InstanceID),
+		SelfLeaving: s.members[s.self.Instance].State == lagoonstile.InstanceLeaving,
+	}
 	for _, peer := range s.view.Alive(now) {
 		digest := peer.Digest
 		home := lagoonstile.Home{Instance: digest.Origin, Incarnation: digest.Incarnation, Epoch: digest.Epoch}
--- a/controller/controller.go
+++ b/controller/controller.go
@@ -92,6 +92,10 @@
 // Next returns the offset to read the configuration stream from.
 func (s *State) Next() lagoonstile.Offset { return s.fold.Next() }
 
+// CaughtUp reports whether the log was read up to the tail that it had at the
+// start, or a peer's configuration was taken.
+func (s *State) CaughtUp() bool { return s.caughtUp }
+
 // Blind reports whether the state waits for a snapshot.
 func (s *State) Blind() bool { return s.fold.Blind() }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -167,14 +167,20 @@
 	return p, fmt.Errorf("change %s: %w: %s: %w", p.Change, ErrInvalid, out.Verdict, out.Err)
 }
 
+// currentPatiently goes on until the log answers. When the time runs out, the
+// error is that of the last try which the time did not cut off.
 func (f *Fleet) currentPatiently(ctx context.Context) (*configurer.Fold, error) {
+	var last error
 	for {
 		fold, err := f.Current(ctx)
 		if err == nil || !errors.Is(err, lagoonstile.ErrUnavailable) {
 			return fold, err
 		}
+		if last == nil || ctx.Err() == nil {
+			last = err
+		}
 		if pause(ctx, retryPause) != nil {
-			return nil, err
+			return nil, last
 		}
 	}
 }
--- a/runner/handlers.go
+++ b/runner/handlers.go
@@ -61,12 +61,13 @@
 // candidates lists the instances that an entry answer may name.
 func (i *Instance) candidates(service lagoonstile.ServiceID) []locator.Candidate {
 	running, waiting := i.gate.Load()
-	return append(i.cell.Load().Candidates(service), locator.Candidate{
+	cell := i.cell.Load()
+	return append(cell.Candidates(service), locator.Candidate{
 		Home:          i.dispatcher.Home(),
 		Address:       i.CallerAddress(),
 		FailureDomain: i.self.FailureDomain,
 		Load:          running + waiting,
-		Leaving:       i.hidden.Load(),
+		Leaving:       i.hidden.Load() || cell.SelfLeaving,
 	})
 }
 
@@ -76,6 +77,8 @@
 	Incarnation   lagoonstile.Incarnation   `json:"incarnation"`
 	FailureDomain lagoonstile.FailureDomain `json:"failure-domain"`
 	Version       lagoonstile.Version       `json:"version"`
+	// CaughtUp says that the log was read once, or a peer's configuration taken.
+	CaughtUp bool `json:"caught-up"`
 	// Blind says that records of the log expired unread.
 	Blind        bool                       `json:"blind"`
 	Leaving      bool                       `json:"leaving"`
@@ -138,6 +141,7 @@
 	status.Running, status.Waiting = i.gate.Load()
 	i.control.ask(func(now time.Time, state *controller.State) {
 		status.Version = state.Version()
+		status.CaughtUp = state.CaughtUp()
 		status.Blind = state.Blind()
 		status.Leaving = i.hidden.Load()
 		status.AuditWaiting = state.Audit().Waiting()
