Ask a frozen address last, and put header names into the core

And whoever embeds package caller got nbio with it, for the names of headers.

Measured: package caller depends on the root, answerer and locator only (go list -deps).

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -19,6 +19,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -27,7 +28,6 @@
 
 	"lagoonstile"
 	"lagoonstile/answerer"
-	"lagoonstile/forwarder"
 	"lagoonstile/locator"
 )
 
@@ -51,7 +51,7 @@
 	entryTimeout = 2 * time.Second
 	// patience is how long a request that may run twice waits for the head of
 	// an answer before it goes to the next address.
-	patience   = 3 * time.Second
+	patience   = 2 * time.Second
 	retryPause = 50 * time.Millisecond
 	mostPause  = time.Second
 	// defaultDeadline holds when the context has none.
@@ -214,15 +214,15 @@
 	for name, values := range req.Header {
 		httpReq.Header[name] = values
 	}
-	httpReq.Header.Set(forwarder.HeaderService, string(req.Service))
+	httpReq.Header.Set(lagoonstile.HeaderService, string(req.Service))
 	if c.Name != "" {
-		httpReq.Header.Set(forwarder.HeaderCaller, c.Name)
+		httpReq.Header.Set(lagoonstile.HeaderCaller, c.Name)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		httpReq.Header.Set(forwarder.HeaderDeadline, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
+		httpReq.Header.Set(lagoonstile.HeaderDeadline, strconv.FormatInt(max(time.Until(deadline).Milliseconds(), 1), 10))
 	}
 	if key != "" {
-		httpReq.Header.Set(forwarder.HeaderKey, key)
+		httpReq.Header.Set(lagoonstile.HeaderKey, key)
 	}
 	if len(req.Body) > 0 {
 		httpReq.Body = io.NopCloser(bytes.NewReader(req.Body))
@@ -322,13 +322,17 @@
 	return &answer, nil
 }
 
-// forget makes the next request ask anew, last addresses first.
+// forget makes the next request ask anew. The addresses named last are asked
+// first, but for the first of them, which has just failed: it may be frozen and
+// would cost the time of an answer once more.
 func (c *Caller) forget(service lagoonstile.ServiceID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if kept := c.entries[service]; kept != nil {
 		expired := *kept
 		expired.until = time.Time{}
+		addresses := kept.answer.Addresses
+		expired.answer.Addresses = append(slices.Clone(addresses[1:]), addresses[0])
 		c.entries[service] = &expired
 	}
 }
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -12,9 +12,9 @@
 	"testing"
 	"time"
 
+	"lagoonstile"
 	"lagoonstile/answerer"
 	"lagoonstile/caller"
-	"lagoonstile/forwarder"
 )
 
 // fleet is one fake instance: it names itself and a second address in entry
@@ -49,7 +49,7 @@
 		_, _ = fmt.Fprintf(w, `{"addresses":[{"address":%q},{"address":%q}],"home":%q,"valid-for-ms":60000}`, address(f.server), address(f.second), home)
 		return
 	}
-	f.keys = append(f.keys, req.Header.Get(forwarder.HeaderKey))
+	f.keys = append(f.keys, req.Header.Get(lagoonstile.HeaderKey))
 	word := "well"
 	if len(f.script) > 0 {
 		word, f.script = f.script[0], f.script[1:]
@@ -124,6 +124,38 @@
 	}
 }
 
+// TestFrozenAddressIsAskedLast goes around an instance that takes connections
+// and says nothing, within the time that one lookup may take.
+func TestFrozenAddressIsAskedLast(t *testing.T) {
+	f := newFleet(t)
+	frozen := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, req *http.Request) { <-req.Context().Done() }))
+	defer frozen.Close()
+	first := true
+	named := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		addresses := []string{address(f.server)}
+		if first {
+			addresses = []string{address(frozen), address(f.server)}
+		}
+		first = false
+		_, _ = fmt.Fprintf(w, `{"addresses":[{"address":%q}`, addresses[0])
+		for _, next := range addresses[1:] {
+			_, _ = fmt.Fprintf(w, `,{"address":%q}`, next)
+		}
+		_, _ = io.WriteString(w, `],"home":"p.i.1","valid-for-ms":60000}`)
+	}))
+	defer named.Close()
+	c := &caller.Caller{Seeds: []string{address(named)}, Client: &http.Client{Transport: &http.Transport{}}}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	answer, err := c.Do(ctx, caller.Request{Service: "stock", Method: http.MethodGet, Path: "/stock"})
+	if err != nil || string(answer.Body) != "well" {
+		t.Fatalf("%+v, %v", answer, err)
+	}
+	if f.entries != 1 {
+		t.Errorf("the address after the frozen one was asked for entry answers %d times, want 1", f.entries)
+	}
+}
+
 // TestLookupsGoToTheNextAddress tries another address when one fails.
 func TestLookupsGoToTheNextAddress(t *testing.T) {
 	f := newFleet(t, "lost", "not-ready", "well")
--- a/cmd/standin/demonstrator/session_test.go
+++ b/cmd/standin/demonstrator/session_test.go
@@ -18,7 +18,6 @@
 
 	"lagoonstile"
 	"lagoonstile/answerer"
-	"lagoonstile/forwarder"
 	"lagoonstile/loader"
 	"lagoonstile/locator"
 	"lagoonstile/operator"
@@ -144,7 +143,7 @@
 		req.Header.Set(name, value)
 	}
 	line := fmt.Sprintf("> %s %s to %s", method, path, instance.Identity().Instance)
-	if key := header[forwarder.HeaderKey]; key != "" {
+	if key := header[lagoonstile.HeaderKey]; key != "" {
 		line += " key " + key
 	}
 	_, _ = fmt.Fprintln(&s.text, line)
@@ -186,7 +185,7 @@
 }
 
 func key(instance *runner.Instance, own string) map[string]string {
-	return map[string]string{forwarder.HeaderKey: home(instance) + "." + own}
+	return map[string]string{lagoonstile.HeaderKey: home(instance) + "." + own}
 }
 
 // await waits until a condition holds that is bound to come.
--- a/cmd/standin/demonstrator/sessions_test.go
+++ b/cmd/standin/demonstrator/sessions_test.go
@@ -13,7 +13,6 @@
 	"lagoonstile"
 	"lagoonstile/answerer"
 	"lagoonstile/cmd/standin/emulator"
-	"lagoonstile/forwarder"
 	"lagoonstile/loader"
 )
 
@@ -64,12 +63,12 @@
 	s.awaitCell()
 	s.say("lookups")
 	s.ask(first, http.MethodGet, "/stock/7", nil)
-	s.ask(first, http.MethodGet, "/anything", map[string]string{forwarder.HeaderService: "stock"})
+	s.ask(first, http.MethodGet, "/anything", map[string]string{lagoonstile.HeaderService: "stock"})
 	s.ask(first, http.MethodGet, "/nothing", nil)
-	s.ask(first, http.MethodGet, "/stock/7", map[string]string{forwarder.HeaderDeadline: "never"})
+	s.ask(first, http.MethodGet, "/stock/7", map[string]string{lagoonstile.HeaderDeadline: "never"})
 	s.say("orders")
 	s.ask(first, http.MethodPost, "/orders/1", nil)
-	s.ask(first, http.MethodPost, "/orders/1", map[string]string{forwarder.HeaderKey: "4711"})
+	s.ask(first, http.MethodPost, "/orders/1", map[string]string{lagoonstile.HeaderKey: "4711"})
 	s.ask(first, http.MethodPost, "/orders/1", key(first, "a"))
 	s.say("the same order again, here and through the other instance")
 	s.ask(first, http.MethodPost, "/orders/1", key(first, "a"))
@@ -79,7 +78,7 @@
 	s.say("another order with a used key")
 	s.ask(first, http.MethodPost, "/orders/3", key(first, "a"))
 	s.say("a home that nobody knows")
-	s.ask(first, http.MethodPost, "/orders/4", map[string]string{forwarder.HeaderKey: "proxy-9.00000000.1.c"})
+	s.ask(first, http.MethodPost, "/orders/4", map[string]string{lagoonstile.HeaderKey: "proxy-9.00000000.1.c"})
 	s.say("a refusal is final for its key")
 	for _, id := range []lagoonstile.ServerID{"order-1", "order-2", "order-3"} {
 		s.fleet.Server(id).Stop()
@@ -93,7 +92,7 @@
 		}
 	}
 	s.ask(first, http.MethodPost, "/orders/5", key(first, "d"))
-	if runs := s.fleet.Ledger.Runs(key(first, "d")[forwarder.HeaderKey]); runs != 0 {
+	if runs := s.fleet.Ledger.Runs(key(first, "d")[lagoonstile.HeaderKey]); runs != 0 {
 		t.Errorf("an order that was told not-run ran %d times", runs)
 	}
 	s.end("caller")
@@ -171,10 +170,10 @@
 		s.fleet.Server(id).SetFaults(emulator.ServerFaults{Mode: emulator.ModeMute})
 	}
 	lost := key(first, "lost")
-	lost[forwarder.HeaderDeadline] = "300"
+	lost[lagoonstile.HeaderDeadline] = "300"
 	s.ask(first, http.MethodPost, "/orders/1", lost)
 	s.ask(first, http.MethodPost, "/orders/1", lost)
-	if runs := s.fleet.Ledger.Runs(lost[forwarder.HeaderKey]); runs != 1 {
+	if runs := s.fleet.Ledger.Runs(lost[lagoonstile.HeaderKey]); runs != 1 {
 		t.Errorf("the order ran %d times, want 1", runs)
 	}
 	for _, id := range []lagoonstile.ServerID{"order-1", "order-2", "order-3"} {
@@ -268,8 +267,8 @@
 	s.ask(second, http.MethodPost, "/orders/2", fresh)
 	s.ask(second, http.MethodPost, "/orders/2", fresh)
 	for _, k := range []map[string]string{kept, fresh} {
-		if runs := s.fleet.Ledger.Runs(k[forwarder.HeaderKey]); runs != 1 {
-			t.Errorf("%s ran %d times, want 1", k[forwarder.HeaderKey], runs)
+		if runs := s.fleet.Ledger.Runs(k[lagoonstile.HeaderKey]); runs != 1 {
+			t.Errorf("%s ran %d times, want 1", k[lagoonstile.HeaderKey], runs)
 		}
 	}
 	s.say("an instance crashes: what its keys became cannot be known")
@@ -326,7 +325,7 @@
 	s.ask(first, http.MethodPost, "/orders/2", key(first, "b"))
 	s.say("a large answer to an order is passed on, and not kept")
 	large := key(first, "c")
-	large[forwarder.HeaderService] = "orders"
+	large[lagoonstile.HeaderService] = "orders"
 	s.ask(first, http.MethodPost, "/download/100000", large)
 	s.ask(first, http.MethodPost, "/download/100000", large)
 	s.say("the key table is full")
--- a/cmd/standin/emulator/ledger.go
+++ b/cmd/standin/emulator/ledger.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"lagoonstile"
-	"lagoonstile/forwarder"
 )
 
 // Ledger notes what the stand-in servers ran. It is the oracle of every check
@@ -68,7 +67,7 @@
 func (l *Ledger) note(id lagoonstile.ServerID, req *http.Request) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if key := req.Header.Get(forwarder.HeaderKey); key != "" {
+	if key := req.Header.Get(lagoonstile.HeaderKey); key != "" {
 		l.runs[key]++
 	}
 	l.server(id).Runs++
--- a/cmd/standin/emulator/server.go
+++ b/cmd/standin/emulator/server.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"lagoonstile"
-	"lagoonstile/forwarder"
 	"lagoonstile/listener"
 )
 
@@ -153,12 +152,12 @@
 	}
 	if draining {
 		s.ledger.refuse(s.ID, true)
-		shed(w, forwarder.ShedDraining)
+		shed(w, lagoonstile.ShedDraining)
 		return
 	}
 	if !s.takeSlot(req) {
 		s.ledger.refuse(s.ID, false)
-		shed(w, forwarder.ShedOverloaded)
+		shed(w, lagoonstile.ShedOverloaded)
 		return
 	}
 	defer func() { <-s.slots }()
@@ -305,7 +304,7 @@
 
 // shed answers in the platform's way that the request was not run.
 func shed(w http.ResponseWriter, reason string) {
-	w.Header().Set(forwarder.HeaderShed, reason)
+	w.Header().Set(lagoonstile.HeaderShed, reason)
 	http.Error(w, "not run: "+reason, http.StatusServiceUnavailable)
 }
 
@@ -317,7 +316,7 @@
 	draining := s.draining && time.Since(s.drained) > healthLag
 	s.mu.Unlock()
 	if draining {
-		shed(w, forwarder.ShedDraining)
+		shed(w, lagoonstile.ShedDraining)
 		return
 	}
 	_, _ = w.Write([]byte("ok\n"))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -40,24 +40,6 @@
 	"lagoonstile/router"
 )
 
-// Names of the headers that callers and servers set.
-const (
-	HeaderService    = "lagoonstile-service"
-	HeaderDeadline   = "lagoonstile-deadline-ms"
-	HeaderKey        = "idempotency-key"
-	HeaderIdempotent = "lagoonstile-idempotent"
-	HeaderCaller     = "lagoonstile-caller"
-	// HeaderShed is set by a server on a 503 that says: this request was not
-	// run. Its value is one of the reasons below.
-	HeaderShed = "lagoonstile-not-run"
-)
-
-// Reasons of servers for not running a request.
-const (
-	ShedOverloaded = "overloaded"
-	ShedDraining   = "draining"
-)
-
 // Recorder takes the figures of finished requests.
 type Recorder interface {
 	// Request is called once for each request of a caller.
@@ -132,7 +114,7 @@
 // of an order may be at its home already, and only the home may say that it was
 // not run. A key that names no home is the exception: nobody ever runs it.
 func early(httpReq *http.Request, failure *answerer.Failure) *answerer.Failure {
-	if httpReq.Header.Get(HeaderKey) != "" && failure.Kind != answerer.KindKeyMalformed {
+	if httpReq.Header.Get(lagoonstile.HeaderKey) != "" && failure.Kind != answerer.KindKeyMalformed {
 		failure.MayHaveRun = true
 	}
 	return failure
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -164,7 +164,7 @@
 }
 
 func sheds(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set(forwarder.HeaderShed, forwarder.ShedOverloaded)
+	w.Header().Set(lagoonstile.HeaderShed, lagoonstile.ShedOverloaded)
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -225,19 +225,19 @@
 		{"all answers are short", true, []http.HandlerFunc{truncates, truncates}, nil, 502, answerer.KindTruncated, answerer.OutcomeUnknown, []int64{1, 1}},
 		{"all fail: the server's own words", true, []http.HandlerFunc{fails, fails}, nil, 500, "", "", []int64{1, 1}},
 		{"an error after a refusal", true, []http.HandlerFunc{sheds, crashes}, nil, 502, answerer.KindServerFailed, answerer.OutcomeUnknown, []int64{1, 1}},
-		{"the deadline passes at a server", true, []http.HandlerFunc{waits}, map[string]string{forwarder.HeaderDeadline: "50"}, 504, answerer.KindDeadline, answerer.OutcomeUnknown, []int64{1}},
-		{"a wrong deadline", true, []http.HandlerFunc{well}, map[string]string{forwarder.HeaderDeadline: "soon"}, 400, answerer.KindBadDeadline, answerer.OutcomeNotRun, []int64{0}},
-		{"an unknown service", true, []http.HandlerFunc{well}, map[string]string{forwarder.HeaderService: "none"}, 404, answerer.KindUnknownService, answerer.OutcomeNotRun, []int64{0}},
-		{"an order to a service unknown here", true, []http.HandlerFunc{well}, map[string]string{forwarder.HeaderService: "none", forwarder.HeaderKey: "p.i.1.7"}, 404, answerer.KindUnknownService, answerer.OutcomeUnknown, []int64{0}},
+		{"the deadline passes at a server", true, []http.HandlerFunc{waits}, map[string]string{lagoonstile.HeaderDeadline: "50"}, 504, answerer.KindDeadline, answerer.OutcomeUnknown, []int64{1}},
+		{"a wrong deadline", true, []http.HandlerFunc{well}, map[string]string{lagoonstile.HeaderDeadline: "soon"}, 400, answerer.KindBadDeadline, answerer.OutcomeNotRun, []int64{0}},
+		{"an unknown service", true, []http.HandlerFunc{well}, map[string]string{lagoonstile.HeaderService: "none"}, 404, answerer.KindUnknownService, answerer.OutcomeNotRun, []int64{0}},
+		{"an order to a service unknown here", true, []http.HandlerFunc{well}, map[string]string{lagoonstile.HeaderService: "none", lagoonstile.HeaderKey: "p.i.1.7"}, 404, answerer.KindUnknownService, answerer.OutcomeUnknown, []int64{0}},
 
 		{"an order without a key", false, []http.HandlerFunc{well}, nil, 400, answerer.KindKeyMissing, answerer.OutcomeNotRun, []int64{0}},
-		{"an order with a key without home", false, []http.HandlerFunc{well}, map[string]string{forwarder.HeaderKey: "7"}, 400, answerer.KindKeyMalformed, answerer.OutcomeNotRun, []int64{0}},
-		{"a caller asks for more care", true, []http.HandlerFunc{crashes, well}, map[string]string{forwarder.HeaderIdempotent: "no", forwarder.HeaderKey: "p.i.1.7"}, 502, answerer.KindServerFailed, answerer.OutcomeUnknown, []int64{1, 0}},
-		{"an order that crashes its server", false, []http.HandlerFunc{crashes, well}, map[string]string{forwarder.HeaderKey: "p.i.1.7"}, 502, answerer.KindServerFailed, answerer.OutcomeUnknown, []int64{1, 0}},
-		{"an order whose answer is short", false, []http.HandlerFunc{truncates, well}, map[string]string{forwarder.HeaderKey: "p.i.1.7"}, 502, answerer.KindTruncated, answerer.OutcomeUnknown, []int64{1, 0}},
-		{"an order that a server refused", false, []http.HandlerFunc{sheds, well}, map[string]string{forwarder.HeaderKey: "p.i.1.7"}, 200, "", "", []int64{1, 1}},
-		{"an order that never left", false, []http.HandlerFunc{nil, well}, map[string]string{forwarder.HeaderKey: "p.i.1.7"}, 200, "", "", []int64{0, 1}},
-		{"an order that fails", false, []http.HandlerFunc{fails, well}, map[string]string{forwarder.HeaderKey: "p.i.1.7"}, 500, "", "", []int64{1, 0}},
+		{"an order with a key without home", false, []http.HandlerFunc{well}, map[string]string{lagoonstile.HeaderKey: "7"}, 400, answerer.KindKeyMalformed, answerer.OutcomeNotRun, []int64{0}},
+		{"a caller asks for more care", true, []http.HandlerFunc{crashes, well}, map[string]string{lagoonstile.HeaderIdempotent: "no", lagoonstile.HeaderKey: "p.i.1.7"}, 502, answerer.KindServerFailed, answerer.OutcomeUnknown, []int64{1, 0}},
+		{"an order that crashes its server", false, []http.HandlerFunc{crashes, well}, map[string]string{lagoonstile.HeaderKey: "p.i.1.7"}, 502, answerer.KindServerFailed, answerer.OutcomeUnknown, []int64{1, 0}},
+		{"an order whose answer is short", false, []http.HandlerFunc{truncates, well}, map[string]string{lagoonstile.HeaderKey: "p.i.1.7"}, 502, answerer.KindTruncated, answerer.OutcomeUnknown, []int64{1, 0}},
+		{"an order that a server refused", false, []http.HandlerFunc{sheds, well}, map[string]string{lagoonstile.HeaderKey: "p.i.1.7"}, 200, "", "", []int64{1, 1}},
+		{"an order that never left", false, []http.HandlerFunc{nil, well}, map[string]string{lagoonstile.HeaderKey: "p.i.1.7"}, 200, "", "", []int64{0, 1}},
+		{"an order that fails", false, []http.HandlerFunc{fails, well}, map[string]string{lagoonstile.HeaderKey: "p.i.1.7"}, 500, "", "", []int64{1, 0}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -274,7 +274,7 @@
 		well(w, req)
 	})
 	for i := range 4 {
-		res, _, err := fix.ask(t, http.MethodPost, map[string]string{forwarder.HeaderKey: fmt.Sprint("p.i.1.", i)})
+		res, _, err := fix.ask(t, http.MethodPost, map[string]string{lagoonstile.HeaderKey: fmt.Sprint("p.i.1.", i)})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -298,7 +298,7 @@
 func TestMistakeOfOurOwn(t *testing.T) {
 	fix := newFixture(t, false, well)
 	fix.forwarder.Orders = broken{}
-	res, _, err := fix.ask(t, http.MethodPost, map[string]string{forwarder.HeaderKey: "p.i.1.7"})
+	res, _, err := fix.ask(t, http.MethodPost, map[string]string{lagoonstile.HeaderKey: "p.i.1.7"})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -77,7 +77,7 @@
 	}
 	req.Entry = match.Entry
 	req.Rank = match.Rank
-	req.Idempotent = match.Entry.Service.Idempotent && httpReq.Header.Get(HeaderIdempotent) != "no"
+	req.Idempotent = match.Entry.Service.Idempotent && httpReq.Header.Get(lagoonstile.HeaderIdempotent) != "no"
 	deadline, err := deadlineOf(httpReq, match.Entry.Service.Deadline)
 	if err != nil {
 		return req, &answerer.Failure{Kind: answerer.KindBadDeadline, Cause: err}
@@ -101,7 +101,7 @@
 	if r.Idempotent {
 		return nil
 	}
-	r.Key = httpReq.Header.Get(HeaderKey)
+	r.Key = httpReq.Header.Get(lagoonstile.HeaderKey)
 	if r.Key == "" {
 		return &answerer.Failure{Kind: answerer.KindKeyMissing}
 	}
@@ -112,7 +112,7 @@
 }
 
 func resolve(httpReq *http.Request, table *router.Table) (router.Match, bool) {
-	if name := httpReq.Header.Get(HeaderService); name != "" {
+	if name := httpReq.Header.Get(lagoonstile.HeaderService); name != "" {
 		return table.Service(lagoonstile.ServiceID(name), httpReq.URL.Path)
 	}
 	return table.Route(httpReq.Host, httpReq.URL.Path)
@@ -122,13 +122,13 @@
 const maxDeadline = time.Hour
 
 func deadlineOf(httpReq *http.Request, rule time.Duration) (time.Duration, error) {
-	text := httpReq.Header.Get(HeaderDeadline)
+	text := httpReq.Header.Get(lagoonstile.HeaderDeadline)
 	if text == "" {
 		return rule, nil
 	}
 	ms, err := strconv.ParseInt(text, 10, 64)
 	if err != nil || ms <= 0 {
-		return 0, fmt.Errorf("header %s: %q is not a whole number over 0", HeaderDeadline, text)
+		return 0, fmt.Errorf("header %s: %q is not a whole number over 0", lagoonstile.HeaderDeadline, text)
 	}
 	return min(time.Duration(min(ms, maxDeadline.Milliseconds()))*time.Millisecond, maxDeadline), nil
 }
@@ -136,7 +136,7 @@
 // callerOf names the account to be fair to: what the caller says, or else its
 // address.
 func callerOf(httpReq *http.Request) lagoonstile.CallerID {
-	if name := httpReq.Header.Get(HeaderCaller); name != "" {
+	if name := httpReq.Header.Get(lagoonstile.HeaderCaller); name != "" {
 		return lagoonstile.CallerID(name)
 	}
 	host, _, err := net.SplitHostPort(httpReq.RemoteAddr)
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"lagoonstile"
 	"lagoonstile/answerer"
 	"lagoonstile/counter"
 	"lagoonstile/picker"
@@ -70,7 +71,7 @@
 	if reason := shedReason(res); reason != "" {
 		_ = res.Body.Close()
 		watch.settle(counter.ResultShed)
-		draining := reason == ShedDraining
+		draining := reason == lagoonstile.ShedDraining
 		if draining {
 			target.Live.SetDraining()
 		}
@@ -113,7 +114,7 @@
 	httpReq.Header = req.Header.Clone()
 	httpReq.Host = req.Host
 	httpReq.Header.Set(answerer.HeaderRequestID, req.ID)
-	httpReq.Header.Set(HeaderDeadline, strconv.FormatInt(max(time.Until(req.Deadline).Milliseconds(), 1), 10))
+	httpReq.Header.Set(lagoonstile.HeaderDeadline, strconv.FormatInt(max(time.Until(req.Deadline).Milliseconds(), 1), 10))
 	if httpReq.Header.Get("User-Agent") == "" {
 		httpReq.Header["User-Agent"] = nil
 	}
@@ -167,7 +168,7 @@
 	if res.StatusCode != http.StatusServiceUnavailable {
 		return ""
 	}
-	return res.Header.Get(HeaderShed)
+	return res.Header.Get(lagoonstile.HeaderShed)
 }
 
 // watch reports one result of a try to its server's counts: the first one. A
