Tell servers the caller's address, and test what they are told

Cause: servers could not see who called. Change: x-forwarded-for is added to, as usual; a test states what a server learns: request id, what is left of the deadline, end-to-end headers only.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -287,6 +287,25 @@
 	}
 }
 
+// TestServersAreTold states what a server learns besides the request itself.
+func TestServersAreTold(t *testing.T) {
+	var got http.Header
+	fix := newFixture(t, true, func(w http.ResponseWriter, req *http.Request) {
+		got = req.Header.Clone()
+		well(w, req)
+	})
+	if _, _, err := fix.ask(t, http.MethodGet, map[string]string{"Connection": "x-hop", "X-Hop": "1", "X-End": "2", lagoonstile.HeaderDeadline: "5000"}); err != nil {
+		t.Fatal(err)
+	}
+	remaining, err := strconv.Atoi(got.Get(lagoonstile.HeaderDeadline))
+	if err != nil || remaining <= 0 || remaining > 5000 {
+		t.Errorf("deadline %q, want what is left of 5000 ms", got.Get(lagoonstile.HeaderDeadline))
+	}
+	if got.Get("X-Forwarded-For") != "127.0.0.1" || got.Get(answerer.HeaderRequestID) == "" || got.Get("X-End") != "2" || got.Get("X-Hop") != "" {
+		t.Errorf("headers %v", got)
+	}
+}
+
 // broken stands for a mistake of our own.
 type broken struct{}
 
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -94,6 +94,9 @@
 	}
 	req.Body = body
 	req.Header = endToEnd(httpReq.Header)
+	if host, _, err := net.SplitHostPort(httpReq.RemoteAddr); err == nil {
+		req.Header.Add(headerForwarded, host)
+	}
 	return req, nil
 }
 
@@ -118,6 +121,9 @@
 	return table.Route(httpReq.Host, httpReq.URL.Path)
 }
 
+// headerForwarded tells servers the addresses that a request came through.
+const headerForwarded = "X-Forwarded-For"
+
 // maxDeadline bounds how long a request may keep its place.
 const maxDeadline = time.Hour
 
