Let a lower rank go first only when it has earned a start

Cause: an example written for embedders showed a download going before an order after both had waited for 1 ms: any credit at all went before more urgent work, also far from a flood.

--- /dev/null
+++ b/detector/example_test.go
@@ -0,0 +1,29 @@
+package detector_test
+
+import (
+	"fmt"
+	"time"
+
+	"lagoonstile"
+	"lagoonstile/detector"
+)
+
+// Two instances report their answers of one second. Server b fails half of its
+// work.
+func Example() {
+	test := detector.New("proxy-1")
+	test.SetServers([]lagoonstile.ServerID{"a", "b", "c"})
+	for _, origin := range []detector.Origin{"proxy-1", "proxy-2"} {
+		test.Observe("a", origin, detector.Evidence{Good: 20})
+		test.Observe("b", origin, detector.Evidence{Good: 5, Bad: 5})
+		test.Observe("c", origin, detector.Evidence{Good: 20})
+	}
+	const falseEjectionsPerWeek = 0.1
+	for _, finding := range test.Evaluate(time.Unix(0, 0), falseEjectionsPerWeek) {
+		fmt.Printf("%s: convicted %t, %d bad of %d\n", finding.Server, finding.Convicted, finding.Bad, finding.Bad+finding.Good)
+	}
+	// Output:
+	// a: convicted false, 0 bad of 0
+	// b: convicted true, 10 bad of 20
+	// c: convicted false, 0 bad of 0
+}
--- /dev/null
+++ b/scheduler/example_test.go
@@ -0,0 +1,32 @@
+package scheduler_test
+
+import (
+	"fmt"
+	"time"
+
+	"lagoonstile"
+	"lagoonstile/scheduler"
+)
+
+// One place, and three requests: the order goes before the download that came
+// first.
+func Example() {
+	now := time.Unix(0, 0)
+	ticket := func(rank lagoonstile.Rank) *scheduler.Ticket {
+		return &scheduler.Ticket{Rank: rank, Caller: "shop", Deadline: now.Add(time.Second)}
+	}
+	queue := scheduler.New(1, scheduler.DefaultShares)
+	running := ticket(lagoonstile.RankLookups)
+	for _, next := range []*scheduler.Ticket{running, ticket(lagoonstile.RankDownloads), ticket(lagoonstile.RankOrders)} {
+		decision, _ := queue.Arrive(now, next)
+		fmt.Println(next.Rank, decision)
+	}
+	for _, action := range queue.Release(now.Add(time.Millisecond), running) {
+		fmt.Println(action.Ticket.Rank, action.Decision)
+	}
+	// Output:
+	// lookups run
+	// downloads wait
+	// orders wait
+	// orders run
+}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -12,8 +12,8 @@
 // and G. Varghese, "Efficient Fair Queueing Using Deficit Round Robin",
 // SIGCOMM 1995), with slot time in place of bytes: while a rank waits, it earns
 // its share of the capacity, and it pays the mean service time for each start
-// and the difference to the real one at the end. A rank with credit goes before
-// more urgent ones.
+// and the difference to the real one at the end. A rank that has earned a start
+// goes before more urgent ones.
 package scheduler
 
 import (
@@ -229,13 +229,13 @@
 	return actions
 }
 
-// nextRank returns the waiting rank with the most credit for its share, or the
-// most urgent waiting rank when none has credit.
+// nextRank returns the waiting rank with the most credit for its share among
+// those that have earned a start, or else the most urgent waiting rank.
 func (q *Queue) nextRank() (lagoonstile.Rank, bool) {
 	var best lagoonstile.Rank
 	var bestCredit float64
 	for _, rank := range lagoonstile.Ranks() {
-		if q.waiting[rank].len() == 0 || q.shares[rank] == 0 {
+		if q.waiting[rank].len() == 0 || q.shares[rank] == 0 || q.credit[rank] < q.cost(rank) {
 			continue
 		}
 		if credit := float64(q.credit[rank]) / q.shares[rank]; credit > bestCredit {
@@ -253,6 +253,24 @@
 	return "", false
 }
 
+// cost returns the credit that a start takes. A rank that has not run yet is
+// taken to cost as much as the longest one; and no cost is more than a rank can
+// save up.
+func (q *Queue) cost(rank lagoonstile.Rank) time.Duration {
+	cost := q.mean[rank]
+	if cost == 0 {
+		for _, mean := range q.mean {
+			cost = max(cost, mean)
+		}
+	}
+	return min(cost, q.most(rank))
+}
+
+// most returns the credit that a rank may save up.
+func (q *Queue) most(rank lagoonstile.Rank) time.Duration {
+	return time.Duration(q.shares[rank] * float64(q.capacity) * float64(creditSpan))
+}
+
 // settle brings the credit of each rank up to now.
 func (q *Queue) settle(now time.Time) {
 	elapsed := now.Sub(q.accounted)
@@ -271,9 +289,8 @@
 // for a few starts, or a rank with long requests would get more than its share.
 func (q *Queue) earn(rank lagoonstile.Rank, amount time.Duration) {
 	entitled := q.shares[rank] * float64(q.capacity)
-	most := time.Duration(entitled * float64(creditSpan))
 	least := -max(time.Duration(entitled*float64(debtSpan)), 2*q.mean[rank])
-	q.credit[rank] = min(max(q.credit[rank]+amount, least), most)
+	q.credit[rank] = min(max(q.credit[rank]+amount, least), q.most(rank))
 }
 
 func (q *Queue) start(now time.Time, ticket *Ticket) {
