Find a route by its path, not by going through all routes

Change: routes are looked up by the path and by what is left before each slash; slopes of routes and of waiting callers are measured.

--- a/Makefile
+++ b/Makefile
@@ -37,4 +37,4 @@
 
 slopes:
 	go test -run xxx -bench 'Slope' -benchtime 20x ./controller
-	go test -run xxx -bench 'Pick|Evaluate|Slope' ./picker ./detector ./deduplicator ./scheduler
+	go test -run xxx -bench 'Pick|Evaluate|Slope' ./picker ./detector ./deduplicator ./router ./scheduler
--- a/controller/slopes_test.go
+++ b/controller/slopes_test.go
@@ -151,7 +151,7 @@
 // second, while 500 requests a second go through it and one in 200 is bad.
 func BenchmarkSlopeGossip(b *testing.B) {
 	for _, size := range sizes[:3] {
-		for _, peers := range []int{3, 7, 15} {
+		for _, peers := range []int{3, 7, 11, 15} {
 			b.Run(fmt.Sprintf("%d/peers-%d", size, peers), func(b *testing.B) {
 				s := stateOf(b, size)
 				random := rand.New(rand.NewPCG(1, 2))
--- a/router/router.go
+++ b/router/router.go
@@ -6,7 +6,6 @@
 
 import (
 	"net"
-	"slices"
 	"strings"
 	"time"
 
@@ -31,15 +30,9 @@
 type Table struct {
 	Version lagoonstile.Version
 	entries map[lagoonstile.ServiceID]*Entry
-	// routes maps a host to its routes, longest prefix first. Routes for any
+	// routes maps a host and a path prefix to where they lead. Routes for any
 	// host stand under the empty host.
-	routes map[string][]route
-}
-
-type route struct {
-	prefix string
-	entry  *Entry
-	rank   lagoonstile.Rank
+	routes map[string]map[string]Match
 }
 
 // Match is where a request goes and how urgent it is.
@@ -53,18 +46,18 @@
 	t := &Table{
 		Version: version,
 		entries: make(map[lagoonstile.ServiceID]*Entry, len(entries)),
-		routes:  make(map[string][]route),
+		routes:  make(map[string]map[string]Match),
 	}
 	for _, entry := range entries {
 		t.entries[entry.Service.ID] = entry
 		for _, r := range entry.Service.Routes {
 			host := strings.ToLower(r.Host)
-			t.routes[host] = append(t.routes[host], route{prefix: r.PathPrefix, entry: entry, rank: rankOf(r, entry)})
+			if t.routes[host] == nil {
+				t.routes[host] = make(map[string]Match)
+			}
+			t.routes[host][r.PathPrefix] = Match{Entry: entry, Rank: rankOf(r, entry)}
 		}
 	}
-	for _, routes := range t.routes {
-		slices.SortFunc(routes, func(a, b route) int { return len(b.prefix) - len(a.prefix) })
-	}
 	return t
 }
 
@@ -101,11 +94,19 @@
 	return longest(t.routes[""], path)
 }
 
-// longest returns the first route that fits: the longest prefix stands first.
-func longest(routes []route, path string) (Match, bool) {
-	for _, r := range routes {
-		if covers(r.prefix, path) {
-			return Match{Entry: r.entry, Rank: r.rank}, true
+// longest returns the route with the longest prefix that covers the path. It
+// looks up the path and then what is left before each slash, so its cost follows
+// the path and not the number of routes.
+func longest(routes map[string]Match, path string) (Match, bool) {
+	if match, ok := routes[path]; ok {
+		return match, true
+	}
+	for at := strings.LastIndexByte(path, '/'); at >= 0; at = strings.LastIndexByte(path[:at], '/') {
+		if match, ok := routes[path[:at+1]]; ok {
+			return match, true
+		}
+		if match, ok := routes[path[:at]]; ok {
+			return match, true
 		}
 	}
 	return Match{}, false
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -1,6 +1,7 @@
 package router_test
 
 import (
+	"fmt"
 	"testing"
 
 	"lagoonstile"
@@ -17,6 +18,7 @@
 		entry("orders", lagoonstile.RankOrders,
 			lagoonstile.Route{PathPrefix: "/stock/order"},
 			lagoonstile.Route{PathPrefix: "/export", Rank: lagoonstile.RankDownloads}),
+		entry("dir", lagoonstile.RankLookups, lagoonstile.Route{PathPrefix: "/dir/"}),
 		entry("portal", lagoonstile.RankLookups, lagoonstile.Route{Host: "Portal.example", PathPrefix: "/"}),
 	})
 	tests := []struct {
@@ -31,6 +33,8 @@
 		{"a route's own rank", "a", "/export/all", "orders", lagoonstile.RankDownloads},
 		{"a host goes before any host", "portal.example:8080", "/stock", "portal", lagoonstile.RankLookups},
 		{"no route", "a", "/", "", ""},
+		{"a prefix that ends with a slash", "a", "/dir/x", "dir", lagoonstile.RankLookups},
+		{"not the directory itself", "a", "/dir", "", ""},
 	}
 	for _, test := range tests {
 		match, ok := table.Route(test.host, test.path)
@@ -46,3 +50,22 @@
 		t.Errorf("a request that names its service has rank %s, want that of the route", match.Rank)
 	}
 }
+
+// BenchmarkSlopeRoutes finds a route among so many.
+func BenchmarkSlopeRoutes(b *testing.B) {
+	for _, size := range []int{10, 100, 1000, 10_000, 42_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			var routes []lagoonstile.Route
+			for i := range size {
+				routes = append(routes, lagoonstile.Route{PathPrefix: fmt.Sprint("/service-", i)})
+			}
+			table := router.New(1, []*router.Entry{{Service: &lagoonstile.Service{ID: "s", Routes: routes}}})
+			path := fmt.Sprintf("/service-%d/a/b", size/2)
+			for b.Loop() {
+				if _, ok := table.Route("portal.example", path); !ok {
+					b.Fatal("no route")
+				}
+			}
+		})
+	}
+}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -262,3 +262,32 @@
 		t.Error("the quiet caller's request did not run second")
 	}
 }
+
+// BenchmarkSlopeCallers is a request's way through a queue in which so many
+// callers wait.
+func BenchmarkSlopeCallers(b *testing.B) {
+	for _, size := range []int{10, 100, 1000, 10_000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			queue := scheduler.New(size, scheduler.DefaultShares)
+			now := epoch
+			arrive := func(i int) *scheduler.Ticket {
+				ticket := &scheduler.Ticket{Rank: lagoonstile.RankLookups, Caller: lagoonstile.CallerID(fmt.Sprint(i)), Deadline: now.Add(time.Hour)}
+				queue.Arrive(now, ticket)
+				return ticket
+			}
+			var running []*scheduler.Ticket
+			for i := range 2 * size {
+				if ticket := arrive(i); i < size {
+					running = append(running, ticket)
+				}
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Microsecond)
+				arrive(i)
+				actions := queue.Release(now, running[0])
+				running = append(running[1:], actions[0].Ticket)
+			}
+		})
+	}
+}
