--- a/cmd/standin/measurer/measure_test.go
+++ b/cmd/standin/measurer/measure_test.go
@@ -99,18 +99,24 @@
 // instance uses the server.
 func BenchmarkQuietNight(b *testing.B) {
 	each(b, func(b *testing.B, deployment Deployment, policy Policy) {
-		report(b, "bad-answers", over(seedsOf(policy), func(seed uint64) float64 {
-			w := NewWorld(deployment, policy, seed)
-			w.Load(2)
-			w.Run(time.Minute, nil)
-			halfBad(w.servers[2])
-			before := w.Bad
-			w.Run(5*time.Minute, func() bool { return w.Using(2) == 0 })
-			return float64(w.Bad - before)
-		}))
+		report(b, "bad-answers", over(seedsOf(policy), func(seed uint64) float64 { return night(deployment, policy, seed) }))
 	})
 }
 
+func quietNight(deployment Deployment, seed uint64) float64 {
+	return night(deployment, PolicyOurs, seed)
+}
+
+func night(deployment Deployment, policy Policy, seed uint64) float64 {
+	w := NewWorld(deployment, policy, seed)
+	w.Load(2)
+	w.Run(time.Minute, nil)
+	halfBad(w.servers[2])
+	before := w.Bad
+	w.Run(5*time.Minute, func() bool { return w.Using(2) == 0 })
+	return float64(w.Bad - before)
+}
+
 // BenchmarkOneWayLoss: answers of one server do not reach one instance. The
 // time until that one goes around it, and how many others do.
 func BenchmarkOneWayLoss(b *testing.B) {
@@ -191,14 +197,16 @@
 // could know the last one sends it work.
 func BenchmarkLeaving(b *testing.B) {
 	each(b, func(b *testing.B, deployment Deployment, policy Policy) {
-		report(b, "s", over(seedsOf(policy), func(seed uint64) float64 {
-			w := NewWorld(deployment, policy, seed)
-			w.Load(0.6 * w.Capacity())
-			w.Run(3*time.Second, nil)
-			s := w.servers[2]
-			s.leaving = true
-			w.Run(10*time.Second, nil)
-			return s.lastWork.Sub(s.refused).Seconds()
-		}))
+		report(b, "s", over(seedsOf(policy), func(seed uint64) float64 { return leaving(deployment, policy, seed) }))
 	})
 }
+
+func leaving(deployment Deployment, policy Policy, seed uint64) float64 {
+	w := NewWorld(deployment, policy, seed)
+	w.Load(0.6 * w.Capacity())
+	w.Run(3*time.Second, nil)
+	s := w.servers[2]
+	s.leaving = true
+	w.Run(10*time.Second, nil)
+	return s.lastWork.Sub(s.refused).Seconds()
+}
--- a/detector/detector.go
+++ b/detector/detector.go
@@ -25,11 +25,9 @@
 // of a long, a short and a fast average. The last two make a bad caller, a bad class of requests or a
 // common dependency raise everybody's baseline within a few answers, so that
 // it convicts nobody. And an excursion is compared with what the others gave
-// since it began, too. The score is worked out twice, step by step with the
-// baseline of each moment, and anew from the excursion's counts with the
-// baseline of now, and the lower one counts: what looked strange when it came
-// does not count once it turns out that all servers did the same, nor what was
-// common when it came once the others are well again.
+// since it began, too: its score is worked out anew each time, so that what
+// looked strange when it came does not count once it turns out that all servers
+// did the same, nor what was common once the others are well again.
 //
 // # Two kinds of evidence
 //
@@ -143,11 +141,8 @@
 	// since is what before was of each server when the excursion began, in the
 	// order of the servers; nil while there is no excursion.
 	since []average
-	// steps is the score by the baselines of each moment.
-	steps float64
-	// pending is what came in since the last evaluation, latest what had come
-	// in at that.
-	pending, latest average
+	// pending is what came in since the last evaluation.
+	pending average
 }
 
 // excursion counts answers since the score was last zero.
@@ -233,7 +228,6 @@
 	server.own = excursion{}
 	server.link = excursion{}
 	server.streak = 0
-	server.steps = 0
 	server.since = nil
 	clear(server.origins)
 }
@@ -298,7 +292,6 @@
 	v.fast.add(v.pending)
 	v.before = v.all
 	v.all.add(v.pending)
-	v.latest = v.pending
 	v.pending = average{}
 }
 
@@ -316,10 +309,8 @@
 // find settles the excursions and tells what they show.
 func (v *server) find(baseline, threshold float64) Finding {
 	failing := math.Max(failingRate, (1+baseline)/2)
-	score := math.Min(v.merged.score(baseline, failing), v.step(baseline, failing))
+	score := v.merged.settle(baseline, failing)
 	if score == 0 {
-		v.merged = excursion{}
-		v.steps = 0
 		v.since = nil
 		clear(v.origins)
 	}
@@ -345,14 +336,6 @@
 	}
 }
 
-// step adds the latest answers to the score by the baselines of each moment.
-func (v *server) step(baseline, failing float64) float64 {
-	latest := excursion{good: v.latest.total - v.latest.bad, bad: v.latest.bad}
-	v.latest = average{}
-	v.steps = math.Max(v.steps+latest.ratio(baseline, failing), 0)
-	return v.steps
-}
-
 // sides returns how many origins saw bad answers, and how many good ones the
 // others saw lately.
 func (v *server) sides() (accusers int, contradicting float64) {
@@ -374,21 +357,13 @@
 	e.bad += bad
 }
 
-// ratio returns the log-likelihood ratio of the counts.
-func (e *excursion) ratio(baseline, failing float64) float64 {
-	return e.bad*math.Log(failing/baseline) + e.good*math.Log((1-failing)/(1-baseline))
-}
-
-// score returns the ratio if it is over zero.
-func (e *excursion) score(baseline, failing float64) float64 {
-	return math.Max(e.ratio(baseline, failing), 0)
-}
-
-// settle returns the score, and starts anew when it is zero.
+// settle returns the log-likelihood ratio of the counts as the score, and starts
+// anew when it is not over zero.
 func (e *excursion) settle(baseline, failing float64) float64 {
-	score := e.score(baseline, failing)
-	if score == 0 {
+	score := e.bad*math.Log(failing/baseline) + e.good*math.Log((1-failing)/(1-baseline))
+	if score <= 0 {
 		*e = excursion{}
+		return 0
 	}
 	return score
 }
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -110,6 +110,34 @@
 	})
 }
 
+// TestFollowingAPeer states when an instance ejects a server that a peer has
+// ejected: at half the threshold, if its evidence is corroborated.
+func TestFollowingAPeer(t *testing.T) {
+	tests := []struct {
+		name         string
+		score        float64
+		peer         bool
+		corroborated bool
+		state        ejector.State
+	}{
+		{"more than half of the threshold, and a peer", 6, true, true, ejector.StateEjected},
+		{"less than half", 4, true, true, ejector.StateInUse},
+		{"no peer", 6, false, true, ejector.StateInUse},
+		{"others contradict", 6, true, false, ejector.StateInUse},
+	}
+	for _, test := range tests {
+		now := time.Unix(0, 0)
+		var service ejector.Service
+		service.SetServers(now, ids(4))
+		finding := detector.Finding{Server: "s0", Threshold: 10, Score: test.score, Corroborated: test.corroborated}
+		notices := map[lagoonstile.ServerID]ejector.Notice{"s0": {PeerEjected: test.peer}}
+		decisions, _ := service.Update(now, 2, []detector.Finding{finding}, notices, func(lagoonstile.ServerID) {})
+		if decisions[0].State != test.state {
+			t.Errorf("%s: %s, want %s", test.name, decisions[0].State, test.state)
+		}
+	}
+}
+
 // TestFlapperIsAwayLongerEachTime shows the back-off of a server that fails
 // again after each trial, and that a long good time forgets it.
 func TestFlapperIsAwayLongerEachTime(t *testing.T) {
--- a/picker/picker_test.go
+++ b/picker/picker_test.go
@@ -60,6 +60,10 @@
 			p.Targets[0].Live.Reserve()
 			return nil
 		}, func(p *picker.Pool, got *picker.Target) bool { return got != p.Targets[0] }},
+		{"a server that said it is leaving is passed over", func(p *picker.Pool) []*picker.Target {
+			p.Targets[0].Live.SetDraining()
+			return nil
+		}, func(p *picker.Pool, got *picker.Target) bool { return got != p.Targets[0] }},
 		{"the near server has slack", func(p *picker.Pool) []*picker.Target {
 			p.Near = p.Targets[1:2]
 			return nil
