Mend promises that did not hold, and a test that could not fail

Cause: reading the change again. And the test of strangers looked for a link before the stranger had tried.

No code of the fleet changed.

--- a/cmd/standin/demonstrator/session_test.go
+++ b/cmd/standin/demonstrator/session_test.go
@@ -36,8 +36,7 @@
 	names []string
 }
 
-// sessionRules leave out retries of the lookups' budget and use short
-// deadlines, so that each request shows one thing.
+// sessionRules have short deadlines, so that a request that waits ends soon.
 const sessionRules = `
 [[rule]]
 service = "stock"
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -25,11 +25,26 @@
 
 	mu      sync.Mutex
 	digests []gossiper.Digest
+	// refused counts the instances that were asked about and not known.
+	refused map[lagoonstile.InstanceID]int
 }
 
 var _ linker.Handler = (*peer)(nil)
 
-func (p *peer) Known(id lagoonstile.InstanceID, _ netip.Addr) bool { return p.known[id] }
+func (p *peer) Known(id lagoonstile.InstanceID, _ netip.Addr) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.known[id] {
+		p.refused[id]++
+	}
+	return p.known[id]
+}
+
+func (p *peer) refusals(id lagoonstile.InstanceID) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.refused[id]
+}
 
 func (p *peer) Digest(digest gossiper.Digest) {
 	p.mu.Lock()
@@ -61,7 +76,7 @@
 
 func start(t *testing.T, address string, self lagoonstile.InstanceID, known ...lagoonstile.InstanceID) *peer {
 	t.Helper()
-	p := &peer{known: map[lagoonstile.InstanceID]bool{}}
+	p := &peer{known: map[lagoonstile.InstanceID]bool{}, refused: map[lagoonstile.InstanceID]int{}}
 	for _, id := range known {
 		p.known[id] = true
 	}
@@ -148,6 +163,8 @@
 	if err == nil {
 		_ = res.Body.Close()
 	}
+	// With the second try the first one has had its answer.
+	await(t, "a has tried twice", func() bool { return b.refusals("a") >= 2 })
 	if n := a.linker.Connected()["b"]; n > 0 {
 		t.Error("an instance that is not listed is linked")
 	}
