Lay the thin path on the users' platform

Settings, store, routes, servers that register themselves, members, resolve and readiness are read and answered in platform/; the product grows a node (runner), a steerer with an allocator, an exchanger, a relayer and datagrams between members.

--- /dev/null
+++ b/allocator/allocator.go
@@ -0,0 +1,152 @@
+// Package allocator puts the steerers of all services between the goroutines
+// of requests: a goroutine asks for a server, waits for its turn, and says how
+// the send ended. It is the steerers' only link to clocks and goroutines.
+package allocator
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"lagoonstile"
+	"lagoonstile/steerer"
+)
+
+// Allocator holds one steerer for each service. Use New.
+type Allocator struct {
+	rules  steerer.Rules
+	near   lagoonstile.FailureDomain
+	urgent func(lagoonstile.ServiceID, steerer.Report)
+
+	mu       sync.Mutex
+	services map[lagoonstile.ServiceID]*steerer.Service
+}
+
+// New returns an allocator without servers. The urgent function is called for
+// each failure that peers should hear of at once; it must not block.
+func New(rules steerer.Rules, near lagoonstile.FailureDomain, urgent func(lagoonstile.ServiceID, steerer.Report)) *Allocator {
+	return &Allocator{
+		rules:    rules,
+		near:     near,
+		urgent:   urgent,
+		services: make(map[lagoonstile.ServiceID]*steerer.Service),
+	}
+}
+
+// SetBackends takes all registered servers.
+func (a *Allocator) SetBackends(backends []lagoonstile.Backend) {
+	byService := make(map[lagoonstile.ServiceID][]lagoonstile.Backend)
+	for _, backend := range backends {
+		byService[backend.Service] = append(byService[backend.Service], backend)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id := range byService {
+		a.service(id)
+	}
+	for id, service := range a.services {
+		wake(service.SetBackends(time.Now(), byService[id]))
+	}
+}
+
+// service returns the steerer of a service, made on first use.
+func (a *Allocator) service(id lagoonstile.ServiceID) *steerer.Service {
+	if a.services[id] == nil {
+		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+		a.services[id] = steerer.New(a.rules, a.near, random)
+	}
+	return a.services[id]
+}
+
+// Acquire waits until the ticket has a server. The caller must settle it. The
+// error is that of the context.
+func (a *Allocator) Acquire(ctx context.Context, id lagoonstile.ServiceID, ticket *steerer.Ticket) error {
+	ticket.Granted = make(chan struct{}, 1)
+	if a.arrive(id, ticket) {
+		return nil
+	}
+	select {
+	case <-ticket.Granted:
+		return nil
+	case <-ctx.Done():
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.service(id).Cancel(ticket) {
+		return ctx.Err()
+	}
+	// The grant came while we gave up.
+	return nil
+}
+
+func (a *Allocator) arrive(id lagoonstile.ServiceID, ticket *steerer.Ticket) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.service(id).Arrive(time.Now(), ticket)
+}
+
+// Settle says how the send of a granted ticket ended.
+func (a *Allocator) Settle(id lagoonstile.ServiceID, server *steerer.Server, outcome steerer.Outcome) {
+	a.mu.Lock()
+	wake(a.service(id).Settle(time.Now(), server, outcome))
+	report := server.Report()
+	a.mu.Unlock()
+	switch outcome {
+	case steerer.OutcomeBad, steerer.OutcomeSilent, steerer.OutcomeGone:
+		a.urgent(id, report)
+	}
+}
+
+// Hear takes in what a peer says of servers.
+func (a *Allocator) Hear(from steerer.Peer, reports []steerer.Report) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	for _, report := range reports {
+		for _, service := range a.services {
+			known, granted := service.Hear(now, from, report)
+			wake(granted)
+			if known {
+				break
+			}
+		}
+	}
+}
+
+// Reports returns what peers should hear of servers that changed since the
+// given time.
+func (a *Allocator) Reports(since time.Time) []steerer.Report {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var reports []steerer.Report
+	for _, service := range a.services {
+		reports = append(reports, service.Reports(since)...)
+	}
+	return reports
+}
+
+// Tick lets go what can go because time has passed.
+func (a *Allocator) Tick() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, service := range a.services {
+		wake(service.Tick(time.Now()))
+	}
+}
+
+// Load returns the servers of a service that may be used and how many requests
+// wait for one.
+func (a *Allocator) Load(id lagoonstile.ServiceID) (servers, waiting int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	service := a.service(id)
+	return service.Servers(time.Now()), service.Waiting()
+}
+
+// wake tells waiting goroutines. A channel holds its only message.
+func wake(granted []*steerer.Ticket) {
+	for _, ticket := range granted {
+		ticket.Granted <- struct{}{}
+	}
+}
--- a/answerer/answerer.go
+++ b/answerer/answerer.go
@@ -14,6 +14,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"time"
 )
 
 // Kind is one entry of the closed list of errors.
@@ -117,6 +118,8 @@
 	Kind Kind
 	// MayHaveRun says that some try of the request may have run on a server.
 	MayHaveRun bool
+	// RetryAfter is when the request may be sent again; 0 when that is not known.
+	RetryAfter time.Duration
 	// Cause is for the log, not for the caller. It may be nil.
 	Cause error
 }
@@ -164,6 +167,9 @@
 	header.Set(HeaderKind, string(f.Kind))
 	header.Set(HeaderOutcome, string(f.Outcome()))
 	header.Set(HeaderRequestID, requestID)
+	if f.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(f.RetryAfter.Seconds(), 'f', -1, 64))
+	}
 	return entry.Status, header, data
 }
 
--- a/cmd/lagoonstile/main.go
+++ b/cmd/lagoonstile/main.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"lagoonstile/loader"
+	"lagoonstile/platform"
 	"lagoonstile/runner"
 )
 
@@ -25,11 +26,20 @@
 	app := kingpin.New("lagoonstile", "A proxy for servers that fail partially and silently.")
 	serve := app.Command("serve", "Serves until SIGTERM, then leaves gracefully; a second SIGTERM ends it at once.")
 	check := app.Command("check-settings", "Checks a settings file and ends.")
+	onPlatform := app.Command("platform", "Serves on the users' platform until SIGTERM. The settings file is named by "+platform.EnvSettings+".")
 	var file string
 	for _, command := range []*kingpin.CmdClause{serve, check} {
 		command.Flag("settings", "Settings file.").Required().StringVar(&file)
 	}
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
+	if chosen == onPlatform.FullCommand() {
+		log := slog.New(slog.NewTextHandler(os.Stdout, nil))
+		if err := platform.Serve(os.Getenv(platform.EnvSettings), log); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(exitFailed)
+		}
+		return
+	}
 	settings, err := loader.ReadSettings(file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,6 +14,7 @@
 
 	"lagoonstile"
 	"lagoonstile/answerer"
+	"lagoonstile/exchanger"
 	"lagoonstile/quarantiner"
 	"lagoonstile/router"
 )
@@ -93,7 +93,7 @@
 		return req, &answerer.Failure{Kind: answerer.KindBadRequest, Cause: err}
 	}
 	req.Body = body
-	req.Header = endToEnd(httpReq.Header)
+	req.Header = exchanger.EndToEnd(httpReq.Header)
 	if host, _, err := net.SplitHostPort(httpReq.RemoteAddr); err == nil {
 		req.Header.Add(headerForwarded, host)
 	}
@@ -152,31 +152,6 @@
 	return lagoonstile.CallerID(host)
 }
 
-// hopByHop lists the headers that speak of one connection only (RFC 9110,
-// section 7.6.1), and those that every hop sets for itself.
-var hopByHop = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, "Host": true,
-}
-
-// endToEnd copies the headers that a hop passes on.
-func endToEnd(header http.Header) http.Header {
-	dropped := make(map[string]bool)
-	for _, value := range header["Connection"] {
-		for name := range strings.SplitSeq(value, ",") {
-			dropped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
-		}
-	}
-	out := make(http.Header, len(header))
-	for name, values := range header {
-		if !hopByHop[name] && !dropped[name] {
-			out[name] = append([]string(nil), values...)
-		}
-	}
-	return out
-}
-
 func newRequestID() string { return uuid.NewString() }
 
 // asFailure returns the Failure in err's chain, or an internal one.
--- a/forwarder/try.go
+++ b/forwarder/try.go
@@ -16,6 +16,7 @@
 	"lagoonstile"
 	"lagoonstile/answerer"
 	"lagoonstile/counter"
+	"lagoonstile/exchanger"
 	"lagoonstile/picker"
 )
 
@@ -79,7 +80,7 @@
 		cause := fmt.Errorf("server %s: not run: %s", target.Server.ID, reason)
 		return &trial{target: target, free: draining, err: &answerer.Failure{Kind: answerer.KindOverloaded, Cause: cause}}
 	}
-	answer := &Answer{Status: res.StatusCode, Header: endToEnd(res.Header), target: target, start: watch.start}
+	answer := &Answer{Status: res.StatusCode, Header: exchanger.EndToEnd(res.Header), target: target, start: watch.start}
 	if err := answer.hold(req.Method, res); err != nil {
 		_ = res.Body.Close()
 		if ctx.Err() != nil {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -70,6 +70,48 @@
 	counter.Inc(1)
 }
 
+// relayedKey names the metrics of one route's requests.
+type relayedKey struct {
+	route  string
+	kind   answerer.Kind
+	status int
+}
+
+// Relayed counts one finished request of a planned route; the empty kind stands
+// for an answer of a server.
+func (r *Recorder) Relayed(route string, kind answerer.Kind, status int, duration time.Duration) {
+	key := relayedKey{route, kind, status}
+	if timer, ok := r.known.Load(key); ok {
+		timer.(metrics.Timer).Update(duration)
+		return
+	}
+	timer := metrics.GetOrRegisterTimer(fmt.Sprintf("relayed.%s.%s.%d", orNone(route), orAnswered(kind), status), r.registry)
+	r.known.Store(key, timer)
+	timer.Update(duration)
+}
+
+type sentKey struct {
+	service lagoonstile.ServiceID
+	outcome string
+	repeat  bool
+}
+
+// Sent counts one send to a server.
+func (r *Recorder) Sent(service lagoonstile.ServiceID, outcome string, repeat bool) {
+	key := sentKey{service, outcome, repeat}
+	if counter, ok := r.known.Load(key); ok {
+		counter.(metrics.Counter).Inc(1)
+		return
+	}
+	what := "first"
+	if repeat {
+		what = "repeat"
+	}
+	counter := metrics.GetOrRegisterCounter(fmt.Sprintf("sent.%s.%s.%s", service, what, outcome), r.registry)
+	r.known.Store(key, counter)
+	counter.Inc(1)
+}
+
 // Gauge sets a named value.
 func (r *Recorder) Gauge(name string, value int64) {
 	metrics.GetOrRegisterGauge(name, r.registry).Update(value)
--- /dev/null
+++ b/relayer/run.go
@@ -0,0 +1,268 @@
+package relayer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"lagoonstile/answerer"
+	"lagoonstile/exchanger"
+	"lagoonstile/quarantiner"
+	"lagoonstile/steerer"
+)
+
+// Bounds of the sends of one request.
+const (
+	// leastWork is the time without which a send is not worth starting.
+	leastWork = 150 * time.Millisecond
+	// busyPause is when a request that found no room may be sent again.
+	busyPause = 400 * time.Millisecond
+	// mostSends bounds the servers that one request is offered to, those that
+	// did not run it included.
+	mostSends = 6
+)
+
+// send is one offer of a request to one server.
+type send struct {
+	server  *steerer.Server
+	outcome steerer.Outcome
+	// reply is nil when err is not.
+	reply *exchanger.Reply
+	err   error
+	// mayHaveRun is false only if the server can't have run the request.
+	mayHaveRun bool
+	// unplaced says that no server was found in time.
+	unplaced bool
+}
+
+// run is the sends of one request.
+type run struct {
+	relayer *Relayer
+	req     *request
+	tried   []*steerer.Server
+	results chan *send
+	// flying counts the sends without a result.
+	flying int
+	// ran counts the servers that may have run the request.
+	ran, sends int
+	// last is the latest server's own failure, to be passed on if nothing better
+	// comes.
+	last  *exchanger.Reply
+	cause error
+}
+
+func newRun(relayer *Relayer, req *request) *run {
+	return &run{relayer: relayer, req: req, results: make(chan *send, mostSends+1)}
+}
+
+// serve sends the request until there is an answer or nothing more may be done.
+// The reply must be closed.
+func (r *run) serve(ctx context.Context) (*exchanger.Reply, *answerer.Failure) {
+	if r.suspected() {
+		return nil, &answerer.Failure{Kind: answerer.KindOverloaded, RetryAfter: quarantinePause, Cause: errQuarantined}
+	}
+	window := r.relayer.window(r.req.service)
+	window.Request(r.req.arrived, r.relayer.Share())
+	r.launch(ctx, false)
+	for {
+		select {
+		case s := <-r.results:
+			r.flying--
+			if done, reply := r.take(s); done {
+				return reply, nil
+			}
+			if r.again(ctx, s) {
+				continue
+			}
+			if r.flying == 0 {
+				return r.giveUp(s.unplaced)
+			}
+		case <-ctx.Done():
+			return r.giveUp(r.flying > 0 && r.sends == 0)
+		}
+	}
+}
+
+var errQuarantined = errors.New("servers crashed on this request")
+
+// quarantinePause is when a request that crashes servers may be sent again.
+const quarantinePause = 5 * time.Second
+
+func (r *run) suspected() bool {
+	return r.relayer.Suspects != nil && r.relayer.Suspects.Admit(r.req.print) == quarantiner.Not
+}
+
+// take handles the end of a send. It reports true with an answer to pass on.
+func (r *run) take(s *send) (bool, *exchanger.Reply) {
+	if s.mayHaveRun {
+		r.ran++
+	}
+	if s.err != nil {
+		r.cause = s.err
+	}
+	if s.outcome == steerer.OutcomeGood {
+		return true, s.reply
+	}
+	if s.reply != nil && s.outcome == steerer.OutcomeBad {
+		r.last = s.reply
+	}
+	return false, nil
+}
+
+// again sends the request to another server if that is allowed.
+func (r *run) again(ctx context.Context, s *send) bool {
+	if s.unplaced || ctx.Err() != nil || time.Until(r.req.deadline) < leastWork {
+		return false
+	}
+	if r.sends >= mostSends || r.suspected() {
+		return false
+	}
+	if r.ran > 0 && (!r.req.route.Idempotent || r.ran >= r.req.route.MaxAttempts) {
+		return false
+	}
+	if s.outcome == steerer.OutcomeUnreached {
+		r.launch(ctx, r.sends > 1)
+		return true
+	}
+	if !r.relayer.window(r.req.service).Take(time.Now(), r.relayer.Share(), r.relayer.Instances()) {
+		r.relayer.Log.Info("repeat-refused", "request-id", r.req.id, "service", r.req.service, "sends", r.sends)
+		return false
+	}
+	r.launch(ctx, true)
+	return true
+}
+
+// giveUp returns the best that there is after the last send.
+func (r *run) giveUp(unplaced bool) (*exchanger.Reply, *answerer.Failure) {
+	if r.last != nil {
+		return r.last, nil
+	}
+	switch {
+	case r.ran == 0 && r.flying == 0, unplaced && r.ran == 0:
+		return nil, &answerer.Failure{Kind: answerer.KindOverloaded, RetryAfter: busyPause, Cause: r.cause}
+	case !time.Now().Before(r.req.deadline):
+		return nil, &answerer.Failure{Kind: answerer.KindDeadline, MayHaveRun: true, Cause: r.cause}
+	}
+	return nil, &answerer.Failure{Kind: answerer.KindServerFailed, MayHaveRun: true, Cause: r.cause}
+}
+
+// launch offers the request to a server that has not had it yet.
+func (r *run) launch(ctx context.Context, repeat bool) {
+	r.flying++
+	r.sends++
+	tried := r.tried
+	ticket := &steerer.Ticket{
+		Priority:   r.req.route.Priority,
+		Idempotent: r.req.route.Idempotent,
+		Large:      r.req.route.Large,
+		Arrived:    r.req.arrived,
+		Tried:      tried,
+	}
+	placing, cancel := context.WithDeadline(ctx, r.req.deadline.Add(-leastWork))
+	defer cancel()
+	if err := r.relayer.Allocator.Acquire(placing, r.req.service, ticket); err != nil {
+		r.sends--
+		r.results <- &send{unplaced: true, outcome: steerer.OutcomeNone, err: err}
+		return
+	}
+	r.tried = append(r.tried, ticket.Server)
+	go func() {
+		s := r.relayer.offer(ctx, r.req, ticket.Server)
+		r.relayer.Allocator.Settle(r.req.service, s.server, s.outcome)
+		r.relayer.note(r.req, s, repeat)
+		r.results <- s
+	}()
+}
+
+// offer sends the request to one server and says what came of it.
+func (r *Relayer) offer(ctx context.Context, req *request, server *steerer.Server) *send {
+	s := &send{server: server}
+	header := req.header.Clone()
+	header.Set(r.Headers.RequestID, req.id)
+	header.Set(r.Headers.Target, string(server.Backend.ID))
+	header.Set(r.Headers.Deadline, strconv.FormatInt(max(time.Until(req.deadline).Milliseconds(), 1), 10))
+	s.reply, s.err = exchanger.Do(ctx, &exchanger.Call{
+		Address: server.Backend.Address, Method: req.method, URI: req.uri, Host: req.host,
+		Header: header, Body: req.body, IDHeader: r.Headers.RequestID, ID: req.id,
+	})
+	if s.err != nil {
+		r.judgeError(ctx, req, s)
+		return s
+	}
+	r.judgeReply(req, s)
+	return s
+}
+
+// judgeError says what an exchange without a whole answer means.
+func (r *Relayer) judgeError(ctx context.Context, req *request, s *send) {
+	var failed *exchanger.Error
+	s.mayHaveRun = !errors.As(s.err, &failed) || failed.Sent
+	switch {
+	case ctx.Err() != nil && time.Now().Before(req.deadline):
+		s.outcome = steerer.OutcomeNone
+	case !s.mayHaveRun:
+		s.outcome = steerer.OutcomeUnreached
+	case ctx.Err() != nil:
+		s.outcome = steerer.OutcomeSilent
+	default:
+		s.outcome = steerer.OutcomeBad
+		if r.Suspects != nil {
+			r.Suspects.Crashed(req.print)
+		}
+	}
+}
+
+// judgeReply says what a whole answer means.
+func (r *Relayer) judgeReply(req *request, s *send) {
+	reply := s.reply
+	notRun := reply.Header.Get(r.Headers.NotRun) != ""
+	signed := reply.Header.Get(r.Headers.Signature) != ""
+	switch {
+	case reply.Status == http.StatusMisdirectedRequest:
+		s.outcome = steerer.OutcomeGone
+		s.drop(errors.New("another server has the address"))
+	case notRun && (reply.Status == http.StatusServiceUnavailable || reply.Status == http.StatusTooManyRequests):
+		s.outcome = steerer.OutcomeShed
+		s.drop(errors.New("server did not run it"))
+	case notRun:
+		s.outcome = steerer.OutcomeGood
+	case reply.Status < http.StatusMultipleChoices && (!signed || reply.Header.Get("Content-Encoding") != ""):
+		s.outcome = steerer.OutcomeBad
+		s.mayHaveRun = true
+		s.drop(errors.New("answer is not the server's"))
+	case reply.Status >= http.StatusInternalServerError:
+		s.outcome = steerer.OutcomeBad
+		s.mayHaveRun = true
+		s.err = errors.New("server answered " + strconv.Itoa(reply.Status))
+		if !signed {
+			s.drop(s.err)
+		}
+	default:
+		s.outcome = steerer.OutcomeGood
+		s.mayHaveRun = true
+		if r.Suspects != nil {
+			r.Suspects.Cleared(req.print)
+		}
+	}
+}
+
+// drop closes a reply that must not be passed on.
+func (s *send) drop(cause error) {
+	s.reply.Close()
+	s.reply = nil
+	s.err = cause
+}
+
+// note logs a send that did not end well and counts every one.
+func (r *Relayer) note(req *request, s *send, repeat bool) {
+	if r.Recorder != nil {
+		r.Recorder.Sent(req.service, string(s.outcome), repeat)
+	}
+	if s.outcome == steerer.OutcomeGood && !repeat {
+		return
+	}
+	r.Log.Info("send-ended", "request-id", req.id, "service", req.service, "server", s.server.Backend.ID,
+		"outcome", s.outcome, "repeat", repeat, "held-ms", time.Since(req.arrived).Milliseconds(), "cause", s.err)
+}
--- /dev/null
+++ b/retrier/window.go
@@ -0,0 +1,71 @@
+package retrier
+
+import (
+	"sync"
+	"time"
+)
+
+// Share is the part of a service's retry budget that one instance may spend.
+// The fleet keeps its budget if each instance keeps its share, whatever the
+// others do, so nothing has to be agreed on when there is no time for it.
+type Share struct {
+	// Ratio is how many repeats each request earns.
+	Ratio float64
+	// Slack is how many repeats there may be besides, over the whole fleet.
+	Slack float64
+	// Span is the time over which both are counted.
+	Span time.Duration
+}
+
+// Window counts requests and repeats of one service over a sliding time. The
+// zero value is ready to use.
+type Window struct {
+	mu       sync.Mutex
+	requests []time.Time
+	repeats  []time.Time
+}
+
+// Request notes a request of a client.
+func (w *Window) Request(now time.Time, share Share) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire(now, share.Span)
+	w.requests = append(w.requests, now)
+}
+
+// Take pays for one repeat and reports false when this instance's share does
+// not reach. Instances is the size of the fleet.
+func (w *Window) Take(now time.Time, share Share, instances int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.expire(now, share.Span)
+	most := share.Ratio*float64(len(w.requests)) + share.Slack/float64(max(instances, 1))
+	if float64(len(w.repeats)+1) > most {
+		return false
+	}
+	w.repeats = append(w.repeats, now)
+	return true
+}
+
+// GiveBack undoes the last Take, for a repeat that reached no server.
+func (w *Window) GiveBack() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.repeats) > 0 {
+		w.repeats = w.repeats[:len(w.repeats)-1]
+	}
+}
+
+func (w *Window) expire(now time.Time, span time.Duration) {
+	w.requests = after(w.requests, now.Add(-span))
+	w.repeats = after(w.repeats, now.Add(-span))
+}
+
+// after drops the times up to the given one from the front.
+func after(times []time.Time, since time.Time) []time.Time {
+	n := 0
+	for n < len(times) && !times[n].After(since) {
+		n++
+	}
+	return times[n:]
+}
--- /dev/null
+++ b/steerer/steerer.go
@@ -0,0 +1,377 @@
+// Package steerer decides which server of a service a request goes to, and when
+// a request waits for one.
+//
+// # What is known of a server
+//
+// Three things, kept apart. Answers of all instances move a Belief: how likely
+// the server is to be faulty now. Failures to reach it count for the instance
+// that saw them only, and close the path for a while. And the requests at it,
+// this instance's own and those that peers last told of, say whether one of its
+// slots is free.
+//
+// # What follows
+//
+// A request goes to the server where it is least likely to fail, among those
+// with a free slot. When no slot is free it waits here and not at a server,
+// where nothing could be decided about it any more: the most urgent request
+// goes first, and within a priority the one that came first.
+//
+// The type is pure: it reads no clock and starts nothing. Package allocator puts
+// it between goroutines.
+package steerer
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"lagoonstile"
+	"lagoonstile/gossiper"
+)
+
+// Outcome is how one send of a request to a server ended.
+type Outcome string
+
+// The outcomes.
+const (
+	// OutcomeGood: a whole answer that is not the server's own failure.
+	OutcomeGood Outcome = "good"
+	// OutcomeBad: the server failed the request, or broke off, or sent bytes
+	// that are no answer to it.
+	OutcomeBad Outcome = "bad"
+	// OutcomeShed: the server said that it was too busy and did not run it.
+	OutcomeShed Outcome = "shed"
+	// OutcomeUnreached: nothing was sent, for there was no connection.
+	OutcomeUnreached Outcome = "unreached"
+	// OutcomeGone: another server has the address, or the server is leaving.
+	OutcomeGone Outcome = "gone"
+	// OutcomeSilent: no answer in the time that the request had.
+	OutcomeSilent Outcome = "silent"
+	// OutcomeNone: nothing was learnt, for the client went away.
+	OutcomeNone Outcome = "none"
+)
+
+// Timing and weights of the choice.
+const (
+	// shedPause is how long a server that was too busy gets nothing.
+	shedPause = 150 * time.Millisecond
+	// firstUnreached and mostUnreached bound how long a path is closed.
+	firstUnreached = 500 * time.Millisecond
+	mostUnreached  = 4 * time.Second
+	// gonePause is how long a server that said it is leaving gets nothing; by
+	// then its entry says so too.
+	gonePause = 10 * time.Second
+	// heardFor is how long what a peer told of its requests counts.
+	heardFor = 1500 * time.Millisecond
+	// loadWeight is the cost of a full server against an idle one, as a
+	// probability of failing.
+	loadWeight = 0.06
+	// farWeight and farLargeWeight are the cost of another failure domain.
+	farWeight      = 0.004
+	farLargeWeight = 0.03
+	// coldWeight is the cost of a server that is still slow after its start.
+	coldWeight = 0.05
+	// jitterWeight spreads instances that know the same.
+	jitterWeight = 0.01
+	// spareSlots lets requests queue at a server so that no slot is idle while
+	// the next request is on its way.
+	spareSlots = 1
+)
+
+// Server is one run of one server as its service's steerer knows it.
+type Server struct {
+	Backend lagoonstile.Backend
+	// Key names the server in messages to peers.
+	Key gossiper.Key
+
+	belief Belief
+	// inFlight is how many requests of this instance are at the server.
+	inFlight int
+	// others is what each peer told last.
+	others map[Peer]heard
+	// good and bad count this instance's own answers.
+	good, bad uint64
+	// changed is when the last report that peers should hear came about.
+	changed time.Time
+	// warm is when the server is past its start.
+	warm time.Time
+	// pausedUntil is when the server may be used again, for whatever reason.
+	pausedUntil time.Time
+	// unreached is the last pause for want of a connection; 0 after success.
+	unreached time.Duration
+	gone      bool
+}
+
+// heard is what a peer said of a server.
+type heard struct {
+	good, bad uint64
+	inFlight  int
+	at        time.Time
+}
+
+// Ticket is one request that wants a server.
+type Ticket struct {
+	Priority   int
+	Idempotent bool
+	// Large says that the answer is large.
+	Large   bool
+	Arrived time.Time
+	// Tried lists the servers that had the request already.
+	Tried []*Server
+	// Server is set when the ticket is granted.
+	Server *Server
+	// Granted is for the owner of the steerer, who is told of grants.
+	Granted chan struct{}
+
+	waiting bool
+}
+
+// Service steers the requests of one service. It is not safe for concurrent
+// use.
+type Service struct {
+	rules   Rules
+	near    lagoonstile.FailureDomain
+	random  *rand.Rand
+	servers map[lagoonstile.ServerID]*Server
+	byKey   map[gossiper.Key]*Server
+	// order lists the servers by id, for loops that must give the same result
+	// every time.
+	order []*Server
+	// waiting is sorted by priority and arrival.
+	waiting []*Ticket
+}
+
+// New returns a steerer without servers for an instance in the given failure
+// domain.
+func New(rules Rules, near lagoonstile.FailureDomain, random *rand.Rand) *Service {
+	return &Service{
+		rules:   rules,
+		near:    near,
+		random:  random,
+		servers: make(map[lagoonstile.ServerID]*Server),
+		byKey:   make(map[gossiper.Key]*Server),
+	}
+}
+
+// KeyOf returns the name of a run of a server in messages.
+func KeyOf(backend lagoonstile.Backend) gossiper.Key {
+	digest := xxhash.New()
+	for _, part := range []string{string(backend.Service), string(backend.ID), backend.Address} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.Write([]byte{0})
+	}
+	return gossiper.Key(digest.Sum64() ^ uint64(backend.Born))
+}
+
+// SetBackends takes the registered servers of the service and returns the
+// tickets that can go now. A server that started again is another one.
+func (s *Service) SetBackends(now time.Time, backends []lagoonstile.Backend) []*Ticket {
+	kept := make(map[lagoonstile.ServerID]*Server, len(backends))
+	s.byKey = make(map[gossiper.Key]*Server, len(backends))
+	s.order = s.order[:0]
+	for _, backend := range backends {
+		key := KeyOf(backend)
+		server := s.servers[backend.ID]
+		if server == nil || server.Key != key {
+			server = &Server{
+				Key:    key,
+				belief: newBelief(now, s.rules),
+				others: make(map[Peer]heard),
+			}
+		}
+		server.Backend = backend
+		server.warm = now.Add(backend.WarmupLeft)
+		kept[backend.ID] = server
+		s.byKey[key] = server
+		s.order = append(s.order, server)
+	}
+	slices.SortFunc(s.order, func(a, b *Server) int {
+		return compare(a.Backend.ID, b.Backend.ID)
+	})
+	s.servers = kept
+	return s.fill(now)
+}
+
+// Servers returns how many servers may get requests at the given time.
+func (s *Service) Servers(now time.Time) int {
+	n := 0
+	for _, server := range s.order {
+		if server.usable(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// Waiting returns how many tickets wait.
+func (s *Service) Waiting() int { return len(s.waiting) }
+
+// Arrive grants a server to a ticket, or makes it wait. It reports whether it
+// was granted.
+func (s *Service) Arrive(now time.Time, ticket *Ticket) bool {
+	if !s.overtaken(ticket) {
+		if server := s.choose(now, ticket); server != nil {
+			s.grant(now, ticket, server)
+			return true
+		}
+	}
+	ticket.waiting = true
+	at, _ := slices.BinarySearchFunc(s.waiting, ticket, func(a, b *Ticket) int {
+		if before(a, b) {
+			return -1
+		}
+		return 1
+	})
+	s.waiting = slices.Insert(s.waiting, at, ticket)
+	return false
+}
+
+// overtaken reports whether a ticket that waits goes before the given one.
+func (s *Service) overtaken(ticket *Ticket) bool {
+	return len(s.waiting) > 0 && before(s.waiting[0], ticket)
+}
+
+func before(a, b *Ticket) bool {
+	if a.Priority != b.Priority {
+		return a.Priority < b.Priority
+	}
+	return !b.Arrived.Before(a.Arrived)
+}
+
+// Cancel takes a waiting ticket out. It reports false for a ticket that has
+// been granted.
+func (s *Service) Cancel(ticket *Ticket) bool {
+	if !ticket.waiting {
+		return false
+	}
+	ticket.waiting = false
+	at := slices.Index(s.waiting, ticket)
+	s.waiting = slices.Delete(s.waiting, at, at+1)
+	return true
+}
+
+// Settle ends a grant and returns the tickets that can go now.
+func (s *Service) Settle(now time.Time, server *Server, outcome Outcome) []*Ticket {
+	server.inFlight--
+	server.changed = now
+	switch outcome {
+	case OutcomeGood:
+		server.good++
+		server.unreached = 0
+		server.belief.observe(now, s.rules, 1, 0)
+	case OutcomeBad, OutcomeSilent:
+		server.bad++
+		server.belief.observe(now, s.rules, 0, 1)
+	case OutcomeShed:
+		server.pause(now.Add(shedPause))
+	case OutcomeUnreached:
+		server.unreached = min(max(2*server.unreached, firstUnreached), mostUnreached)
+		server.pause(now.Add(server.unreached))
+	case OutcomeGone:
+		server.gone = true
+		server.pause(now.Add(gonePause))
+	case OutcomeNone:
+	}
+	return s.fill(now)
+}
+
+// Tick returns the tickets that can go because time has passed.
+func (s *Service) Tick(now time.Time) []*Ticket { return s.fill(now) }
+
+// fill grants servers to waiting tickets in their order.
+func (s *Service) fill(now time.Time) []*Ticket {
+	var granted []*Ticket
+	kept := s.waiting[:0]
+	for _, ticket := range s.waiting {
+		server := s.choose(now, ticket)
+		if server == nil {
+			kept = append(kept, ticket)
+			continue
+		}
+		ticket.waiting = false
+		s.grant(now, ticket, server)
+		granted = append(granted, ticket)
+	}
+	clear(s.waiting[len(kept):])
+	s.waiting = kept
+	return granted
+}
+
+func (s *Service) grant(now time.Time, ticket *Ticket, server *Server) {
+	server.inFlight++
+	server.changed = now
+	ticket.Server = server
+}
+
+// choose returns the server with the least cost that has a free slot, or nil.
+func (s *Service) choose(now time.Time, ticket *Ticket) *Server {
+	var best *Server
+	bestCost := 0.0
+	for _, server := range s.order {
+		if !server.usable(now) || slices.Contains(ticket.Tried, server) {
+			continue
+		}
+		load := server.load(now)
+		if load >= server.Backend.Slots+spareSlots {
+			continue
+		}
+		cost := s.cost(now, ticket, server, load)
+		if best == nil || cost < bestCost {
+			best, bestCost = server, cost
+		}
+	}
+	return best
+}
+
+// cost weighs what may go wrong at a server, as a probability of failing.
+func (s *Service) cost(now time.Time, ticket *Ticket, server *Server, load int) float64 {
+	cost := server.belief.failing(now, s.rules)
+	cost += loadWeight * float64(load) / float64(server.Backend.Slots)
+	if load >= server.Backend.Slots {
+		cost += loadWeight
+	}
+	if server.Backend.FailureDomain != s.near {
+		if ticket.Large {
+			cost += farLargeWeight
+		} else {
+			cost += farWeight
+		}
+	}
+	if now.Before(server.warm) {
+		cost += coldWeight
+	}
+	return cost + jitterWeight*s.random.Float64()
+}
+
+func (v *Server) usable(now time.Time) bool {
+	return !v.Backend.Draining && !now.Before(v.pausedUntil)
+}
+
+// load returns how many requests are at the server as far as is known.
+func (v *Server) load(now time.Time) int {
+	n := v.inFlight
+	for _, other := range v.others {
+		if now.Sub(other.at) <= heardFor {
+			n += other.inFlight
+		}
+	}
+	return n
+}
+
+func (v *Server) pause(until time.Time) {
+	if until.After(v.pausedUntil) {
+		v.pausedUntil = until
+	}
+}
+
+func compare(a, b lagoonstile.ServerID) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
