Wait for a sound server, look at idle ones, and try a second one in time

Change: spells of 14 s sound and 6 s faulty; a request tolerates a doubtful server the more the longer it has waited; a server that nobody offered anything for a while gets a request; idempotent requests are hedged; downloads stay in the failure domain.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -64,10 +64,12 @@
 func (a *Allocator) Acquire(ctx context.Context, id lagoonstile.ServiceID, ticket *steerer.Ticket) error {
 	ticket.Granted = make(chan struct{}, 1)
 	if a.arrive(id, ticket) {
+		a.tellExplored(id, ticket)
 		return nil
 	}
 	select {
 	case <-ticket.Granted:
+		a.tellExplored(id, ticket)
 		return nil
 	case <-ctx.Done():
 	}
@@ -80,16 +82,50 @@
 	return nil
 }
 
+// tellExplored keeps peers from looking at the same server.
+func (a *Allocator) tellExplored(id lagoonstile.ServiceID, ticket *steerer.Ticket) {
+	if !ticket.Explores {
+		return
+	}
+	a.mu.Lock()
+	report := ticket.Server.Report()
+	a.mu.Unlock()
+	a.urgent(id, report)
+}
+
+// Overdue notes that a request has been at a server for too long.
+func (a *Allocator) Overdue(id lagoonstile.ServiceID, server *steerer.Server) {
+	a.mu.Lock()
+	a.service(id).Overdue(time.Now(), server)
+	report := server.Report()
+	a.mu.Unlock()
+	a.urgent(id, report)
+}
+
 func (a *Allocator) arrive(id lagoonstile.ServiceID, ticket *steerer.Ticket) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.service(id).Arrive(time.Now(), ticket)
 }
 
-// Settle says how the send of a granted ticket ended.
-func (a *Allocator) Settle(id lagoonstile.ServiceID, server *steerer.Server, outcome steerer.Outcome) {
+// Slow returns how long a send takes that takes much longer than sends do.
+func (a *Allocator) Slow(id lagoonstile.ServiceID) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.service(id).Slow()
+}
+
+// Hedge returns after which time a second server is worth trying as well.
+func (a *Allocator) Hedge(id lagoonstile.ServiceID, objective time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.service(id).Hedge(objective)
+}
+
+// Settle says how the send of a granted ticket ended, and how long it took.
+func (a *Allocator) Settle(id lagoonstile.ServiceID, server *steerer.Server, outcome steerer.Outcome, took time.Duration) {
 	a.mu.Lock()
-	wake(a.service(id).Settle(time.Now(), server, outcome))
+	wake(a.service(id).Settle(time.Now(), server, outcome, took))
 	report := server.Report()
 	a.mu.Unlock()
 	switch outcome {
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"lagoonstile/answerer"
@@ -41,8 +45,14 @@
 type run struct {
 	relayer *Relayer
 	req     *request
-	tried   []*steerer.Server
 	results chan *send
+	// slow gets a token when a send takes much longer than sends do.
+	slow chan struct{}
+
+	// mu guards tried, which sends add to when they get a server.
+	mu    sync.Mutex
+	tried []*steerer.Server
+
 	// flying counts the sends without a result.
 	flying int
 	// ran counts the servers that may have run the request.
@@ -54,7 +64,12 @@
 }
 
 func newRun(relayer *Relayer, req *request) *run {
-	return &run{relayer: relayer, req: req, results: make(chan *send, mostSends+1)}
+	return &run{
+		relayer: relayer,
+		req:     req,
+		results: make(chan *send, mostSends+1),
+		slow:    make(chan struct{}, mostSends+1),
+	}
 }
 
 // serve sends the request until there is an answer or nothing more may be done.
@@ -79,12 +94,29 @@
 			if r.flying == 0 {
 				return r.giveUp(s.unplaced)
 			}
+		case <-r.slow:
+			r.hedge(ctx)
 		case <-ctx.Done():
-			return r.giveUp(r.flying > 0 && r.sends == 0)
+			return r.giveUp(false)
 		}
 	}
 }
 
+// hedge sends an idempotent request that waits for a slow server to a second
+// one as well. The first answer is taken.
+func (r *run) hedge(ctx context.Context) {
+	if !r.req.route.Idempotent || r.flying != 1 || r.ran+r.flying >= r.req.route.MaxAttempts {
+		return
+	}
+	if r.sends >= mostSends || r.suspected() || time.Until(r.req.deadline) < leastWork {
+		return
+	}
+	if r.relayer.window(r.req.service).Take(time.Now(), r.relayer.Share(), r.relayer.Instances()) {
+		r.relayer.Log.Info("hedged", "request-id", r.req.id, "service", r.req.service)
+		r.launch(ctx, true)
+	}
+}
+
 var errQuarantined = errors.New("servers crashed on this request")
 
 // quarantinePause is when a request that crashes servers may be sent again.
@@ -119,7 +151,7 @@
 	if r.sends >= mostSends || r.suspected() {
 		return false
 	}
-	if r.ran > 0 && (!r.req.route.Idempotent || r.ran >= r.req.route.MaxAttempts) {
+	if r.ran+r.flying > 0 && (!r.req.route.Idempotent || r.ran+r.flying >= r.req.route.MaxAttempts) {
 		return false
 	}
 	if s.outcome == steerer.OutcomeUnreached {
@@ -140,7 +172,7 @@
 		return r.last, nil
 	}
 	switch {
-	case r.ran == 0 && r.flying == 0, unplaced && r.ran == 0:
+	case r.ran == 0 && (r.flying == 0 || unplaced):
 		return nil, &answerer.Failure{Kind: answerer.KindOverloaded, RetryAfter: busyPause, Cause: r.cause}
 	case !time.Now().Before(r.req.deadline):
 		return nil, &answerer.Failure{Kind: answerer.KindDeadline, MayHaveRun: true, Cause: r.cause}
@@ -152,28 +184,46 @@
 func (r *run) launch(ctx context.Context, repeat bool) {
 	r.flying++
 	r.sends++
-	tried := r.tried
+	r.mu.Lock()
 	ticket := &steerer.Ticket{
 		Priority:   r.req.route.Priority,
 		Idempotent: r.req.route.Idempotent,
 		Large:      r.req.route.Large,
 		Arrived:    r.req.arrived,
-		Tried:      tried,
+		Until:      r.req.deadline.Add(-leastWork),
+		Tried:      slices.Clone(r.tried),
 	}
-	placing, cancel := context.WithDeadline(ctx, r.req.deadline.Add(-leastWork))
+	r.mu.Unlock()
+	go func() { r.results <- r.place(ctx, ticket, repeat) }()
+}
+
+// place waits for a server and sends the request there.
+func (r *run) place(ctx context.Context, ticket *steerer.Ticket, repeat bool) *send {
+	placing, cancel := context.WithDeadline(ctx, ticket.Until)
 	defer cancel()
 	if err := r.relayer.Allocator.Acquire(placing, r.req.service, ticket); err != nil {
-		r.sends--
-		r.results <- &send{unplaced: true, outcome: steerer.OutcomeNone, err: err}
-		return
+		return &send{unplaced: true, outcome: steerer.OutcomeNone, err: fmt.Errorf("no server had room: %w", err)}
 	}
+	r.mu.Lock()
 	r.tried = append(r.tried, ticket.Server)
-	go func() {
-		s := r.relayer.offer(ctx, r.req, ticket.Server)
-		r.relayer.Allocator.Settle(r.req.service, s.server, s.outcome)
-		r.relayer.note(r.req, s, repeat)
-		r.results <- s
-	}()
+	r.mu.Unlock()
+	began := time.Now()
+	var overdue atomic.Bool
+	timer := time.AfterFunc(r.relayer.Allocator.Slow(r.req.service), func() {
+		overdue.Store(true)
+		r.relayer.Allocator.Overdue(r.req.service, ticket.Server)
+	})
+	hedging := time.AfterFunc(r.relayer.Allocator.Hedge(r.req.service, r.req.route.Objective), func() { r.slow <- struct{}{} })
+	s := r.relayer.offer(ctx, r.req, ticket.Server)
+	timer.Stop()
+	hedging.Stop()
+	outcome := s.outcome
+	if outcome == steerer.OutcomeSilent && overdue.Load() {
+		outcome = steerer.OutcomeNone // It was held against the server already.
+	}
+	r.relayer.Allocator.Settle(r.req.service, s.server, outcome, time.Since(began))
+	r.relayer.note(r.req, s, repeat)
+	return s
 }
 
 // offer sends the request to one server and says what came of it.
--- a/retrier/window.go
+++ b/retrier/window.go
@@ -34,12 +34,18 @@
 }
 
 // Take pays for one repeat and reports false when this instance's share does
-// not reach. Instances is the size of the fleet.
+// not reach. Instances is the size of the fleet. Repeats often follow a crowd of
+// requests, so the span with most requests among the last, the one before it
+// and the one half before it counts.
 func (w *Window) Take(now time.Time, share Share, instances int) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.expire(now, share.Span)
-	most := share.Ratio*float64(len(w.requests)) + share.Slack/float64(max(instances, 1))
+	requests := 0
+	for _, back := range []time.Duration{0, share.Span / 2, share.Span} {
+		requests = max(requests, count(w.requests, now.Add(-back-share.Span), now.Add(-back)))
+	}
+	most := share.Ratio*float64(requests) + share.Slack/float64(max(instances, 1))
 	if float64(len(w.repeats)+1) > most {
 		return false
 	}
@@ -57,7 +63,7 @@
 }
 
 func (w *Window) expire(now time.Time, span time.Duration) {
-	w.requests = after(w.requests, now.Add(-span))
+	w.requests = after(w.requests, now.Add(-2*span))
 	w.repeats = after(w.repeats, now.Add(-span))
 }
 
@@ -69,3 +75,15 @@
 	}
 	return times[n:]
 }
+
+// count returns how many of the sorted times are after one and not after the
+// other.
+func count(times []time.Time, after, until time.Time) int {
+	n := 0
+	for _, at := range times {
+		if at.After(after) && !at.After(until) {
+			n++
+		}
+	}
+	return n
+}
--- a/steerer/belief.go
+++ b/steerer/belief.go
@@ -19,8 +19,8 @@
 var DefaultRules = Rules{
 	SoundFailing:  0.015,
 	FaultyFailing: 0.75,
-	SoundFor:      8 * time.Second,
-	FaultyFor:     3 * time.Second,
+	SoundFor:      14 * time.Second,
+	FaultyFor:     6 * time.Second,
 }
 
 // prior returns the share of servers that are faulty at any time.
--- a/steerer/report.go
+++ b/steerer/report.go
@@ -61,6 +61,9 @@
 	if good+bad > 0 && (known || good+bad <= mostNews) {
 		server.belief.observe(now, s.rules, good, bad)
 	}
+	if good+bad > 0 || report.InFlight > past.inFlight {
+		server.offered = now
+	}
 	server.others[from] = heard{good: report.Good, bad: report.Bad, inFlight: report.InFlight, at: now}
 	if report.Gone && !server.gone {
 		server.gone = true
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -70,7 +70,7 @@
 	loadWeight = 0.06
 	// farWeight and farLargeWeight are the cost of another failure domain.
 	farWeight      = 0.004
-	farLargeWeight = 0.03
+	farLargeWeight = 0.35
 	// coldWeight is the cost of a server that is still slow after its start.
 	coldWeight = 0.05
 	// jitterWeight spreads instances that know the same.
@@ -78,6 +78,35 @@
 	// spareSlots lets requests queue at a server so that no slot is idle while
 	// the next request is on its way.
 	spareSlots = 1
+	// exploreIdempotent and exploreOther are how long no instance has offered a
+	// server anything when a request is sent there to see. Repeating an
+	// idempotent one costs little, so those go first.
+	exploreIdempotent = 900 * time.Millisecond
+	exploreOther      = 1600 * time.Millisecond
+	// exploreIdempotentBelow and exploreOtherBelow are the beliefs under which a
+	// server is worth such a request.
+	exploreIdempotentBelow = 0.6
+	exploreOtherBelow      = 0.45
+	// firstTolerance is how likely a server may be to fail a request that has not
+	// waited yet, and firstToleranceIdempotent the same for one that can be
+	// repeated. Tolerance grows with the time that a request has waited, and is
+	// full when it has waited this share of the time that it can.
+	firstTolerance           = 0.15
+	firstToleranceIdempotent = 0.4
+	fullToleranceAt          = 0.7
+	// bestTolerance is what a server may be worse than the best one. When all
+	// servers fail alike, waiting for a better one helps nobody.
+	bestTolerance = 0.1
+	// slowFactor times the mean time of good answers is slow.
+	slowFactor = 2.5
+	firstSlow  = 1500 * time.Millisecond
+	leastSlow  = 100 * time.Millisecond
+	// hedgeShare of the objective, and hedgeFactor times the mean, is when a
+	// second server is tried.
+	hedgeShare  = 0.55
+	hedgeFactor = 1.3
+	// meanWeight is the weight of an answer in the mean.
+	meanWeight = 0.05
 )
 
 // Server is one run of one server as its service's steerer knows it.
@@ -95,6 +124,8 @@
 	good, bad uint64
 	// changed is when the last report that peers should hear came about.
 	changed time.Time
+	// offered is when any instance last offered the server a request.
+	offered time.Time
 	// warm is when the server is past its start.
 	warm time.Time
 	// pausedUntil is when the server may be used again, for whatever reason.
@@ -118,12 +149,16 @@
 	// Large says that the answer is large.
 	Large   bool
 	Arrived time.Time
+	// Until is the last time at which a server is of use.
+	Until time.Time
 	// Tried lists the servers that had the request already.
 	Tried []*Server
 	// Server is set when the ticket is granted.
 	Server *Server
 	// Granted is for the owner of the steerer, who is told of grants.
 	Granted chan struct{}
+	// Explores says that the server was idle and is being looked at.
+	Explores bool
 
 	waiting bool
 }
@@ -141,6 +176,8 @@
 	order []*Server
 	// waiting is sorted by priority and arrival.
 	waiting []*Ticket
+	// mean is the smoothed time of good answers; 0 before the first.
+	mean time.Duration
 }
 
 // New returns a steerer without servers for an instance in the given failure
@@ -252,14 +289,15 @@
 	return true
 }
 
-// Settle ends a grant and returns the tickets that can go now.
-func (s *Service) Settle(now time.Time, server *Server, outcome Outcome) []*Ticket {
+// Settle ends a grant, with the time that it took, and returns the tickets that can go now.
+func (s *Service) Settle(now time.Time, server *Server, outcome Outcome, took time.Duration) []*Ticket {
 	server.inFlight--
 	server.changed = now
 	switch outcome {
 	case OutcomeGood:
 		server.good++
 		server.unreached = 0
+		s.learn(took)
 		server.belief.observe(now, s.rules, 1, 0)
 	case OutcomeBad, OutcomeSilent:
 		server.bad++
@@ -277,6 +315,39 @@
 	return s.fill(now)
 }
 
+// learn takes the time of a good answer into the mean.
+func (s *Service) learn(took time.Duration) {
+	if s.mean == 0 {
+		s.mean = took
+		return
+	}
+	s.mean += time.Duration(meanWeight * float64(took-s.mean))
+}
+
+// Slow returns how long a request takes that takes much longer than requests
+// do.
+func (s *Service) Slow() time.Duration {
+	if s.mean == 0 {
+		return firstSlow
+	}
+	return max(time.Duration(slowFactor*float64(s.mean)), leastSlow)
+}
+
+// Hedge returns after which time a second server is worth trying as well, for
+// requests with the given objective.
+func (s *Service) Hedge(objective time.Duration) time.Duration {
+	after := max(time.Duration(hedgeShare*float64(objective)), time.Duration(hedgeFactor*float64(s.mean)))
+	return min(after, s.Slow())
+}
+
+// Overdue notes that a request has been at a server for much longer than
+// requests take. Its outcome still counts when it comes.
+func (s *Service) Overdue(now time.Time, server *Server) {
+	server.bad++
+	server.changed = now
+	server.belief.observe(now, s.rules, 0, 1)
+}
+
 // Tick returns the tickets that can go because time has passed.
 func (s *Service) Tick(now time.Time) []*Ticket { return s.fill(now) }
 
@@ -302,19 +373,26 @@
 func (s *Service) grant(now time.Time, ticket *Ticket, server *Server) {
 	server.inFlight++
 	server.changed = now
+	server.offered = now
 	ticket.Server = server
 }
 
-// choose returns the server with the least cost that has a free slot, or nil.
+// choose returns the server for a ticket, or nil when it must wait.
 func (s *Service) choose(now time.Time, ticket *Ticket) *Server {
+	if server := s.explore(now, ticket); server != nil {
+		ticket.Explores = true
+		return server
+	}
+	ticket.Explores = false
 	var best *Server
 	bestCost := 0.0
+	tolerance := s.tolerance(now, ticket)
 	for _, server := range s.order {
 		if !server.usable(now) || slices.Contains(ticket.Tried, server) {
 			continue
 		}
 		load := server.load(now)
-		if load >= server.Backend.Slots+spareSlots {
+		if load >= server.Backend.Slots+spareSlots || server.belief.failing(now, s.rules) > tolerance {
 			continue
 		}
 		cost := s.cost(now, ticket, server, load)
@@ -325,6 +403,57 @@
 	return best
 }
 
+// explore returns the server that was offered nothing for longest, if it is time
+// to look at it.
+func (s *Service) explore(now time.Time, ticket *Ticket) *Server {
+	if len(ticket.Tried) > 0 {
+		return nil
+	}
+	after, below := exploreOther, exploreOtherBelow
+	if ticket.Idempotent {
+		after, below = exploreIdempotent, exploreIdempotentBelow
+	}
+	var idle *Server
+	for _, server := range s.order {
+		if !server.usable(now) || now.Sub(server.offered) < after || server.load(now) > 0 {
+			continue
+		}
+		if server.belief.At(now, s.rules) >= below {
+			continue
+		}
+		if idle == nil || server.offered.Before(idle.offered) {
+			idle = server
+		}
+	}
+	return idle
+}
+
+// tolerance returns how likely the server of a ticket may be to fail it.
+func (s *Service) tolerance(now time.Time, ticket *Ticket) float64 {
+	first := firstTolerance
+	if ticket.Idempotent {
+		first = firstToleranceIdempotent
+	}
+	waited := 1.0
+	if span := ticket.Until.Sub(ticket.Arrived); span > 0 {
+		waited = min(float64(now.Sub(ticket.Arrived))/(fullToleranceAt*float64(span)), 1)
+	}
+	tolerance := first + (1-first)*waited*waited
+	return max(tolerance, s.least(now, ticket)+bestTolerance)
+}
+
+// least returns how likely the best server is to fail a ticket, whether it has a
+// free slot or not.
+func (s *Service) least(now time.Time, ticket *Ticket) float64 {
+	least := 1.0
+	for _, server := range s.order {
+		if server.usable(now) && !slices.Contains(ticket.Tried, server) {
+			least = min(least, server.belief.failing(now, s.rules))
+		}
+	}
+	return least
+}
+
 // cost weighs what may go wrong at a server, as a probability of failing.
 func (s *Service) cost(now time.Time, ticket *Ticket, server *Server, load int) float64 {
 	cost := server.belief.failing(now, s.rules)
