--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -24,7 +24,7 @@
 // Timing and bounds.
 const (
 	// BeatInterval is how often an instance speaks without a reason.
-	BeatInterval = 250 * time.Millisecond
+	BeatInterval = 300 * time.Millisecond
 	// repeatFor is how long a change is said again, in case a datagram is lost.
 	repeatFor = 2*BeatInterval + BeatInterval/2
 	// maxReports keeps a datagram under the size of an Ethernet frame.
@@ -35,19 +35,17 @@
 	MaxPrints = 16
 )
 
-// Digest is one datagram.
+// Digest is one datagram. Who speaks follows from where it comes from, and what
+// members announced of themselves is not said again.
 type Digest struct {
-	Origin        lagoonstile.InstanceID    `cbor:"1,keyasint"`
-	Incarnation   lagoonstile.Incarnation   `cbor:"2,keyasint"`
-	Version       lagoonstile.Version       `cbor:"3,keyasint,omitempty"`
-	Leaving       bool                      `cbor:"4,keyasint,omitempty"`
-	CallerAddress string                    `cbor:"5,keyasint,omitempty"`
-	FailureDomain lagoonstile.FailureDomain `cbor:"6,keyasint,omitempty"`
-	Reports       []steerer.Report          `cbor:"7,keyasint,omitempty"`
+	Incarnation lagoonstile.Incarnation `cbor:"1,keyasint"`
+	Version     lagoonstile.Version     `cbor:"2,keyasint,omitempty"`
+	Leaving     bool                    `cbor:"3,keyasint,omitempty"`
+	Reports     []steerer.Report        `cbor:"4,keyasint,omitempty"`
 	// Crashes counts the servers that crashed on requests, by print.
-	Crashes map[uint64]int `cbor:"8,keyasint,omitempty"`
+	Crashes map[uint64]int `cbor:"5,keyasint,omitempty"`
 	// Entries is the offset up to which the origin knows the servers' entries.
-	Entries lagoonstile.Offset `cbor:"9,keyasint,omitempty"`
+	Entries lagoonstile.Offset `cbor:"6,keyasint,omitempty"`
 }
 
 // Source says what the instance has to tell.
@@ -61,7 +59,7 @@
 // Messenger is the datagram socket of one instance.
 type Messenger struct {
 	source Source
-	hear   func(Digest)
+	hear   func(lagoonstile.InstanceID, Digest)
 	log    *slog.Logger
 	socket *net.UDPConn
 
@@ -74,7 +72,7 @@
 
 // Listen opens the socket on an IP:port. The hear function is called for each
 // digest of a member, on the reading goroutine.
-func Listen(address string, source Source, hear func(Digest), log *slog.Logger) (*Messenger, error) {
+func Listen(address string, source Source, hear func(lagoonstile.InstanceID, Digest), log *slog.Logger) (*Messenger, error) {
 	local, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
 		return nil, fmt.Errorf("peers on %s: %w", address, err)
@@ -178,10 +176,10 @@
 			continue
 		}
 		var digest Digest
-		if err := encoder.Decode(buffer[:n], &digest); err != nil || digest.Origin != id {
+		if err := encoder.Decode(buffer[:n], &digest); err != nil {
 			m.log.Warn("digest-refused", "from", from, "peer", id, "cause", err)
 			continue
 		}
-		m.hear(digest)
+		m.hear(id, digest)
 	}
 }
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -25,8 +25,8 @@
 	suspectFor = time.Minute
 	// quarantineFor is how long a request is kept from running.
 	quarantineFor = time.Hour
-	// crashesToQuarantine is how many crashes are proof.
-	crashesToQuarantine = 2
+	// defaultProof is how many crashes are proof where the keeper says nothing.
+	defaultProof = 2
 	// maxPrints bounds suspects and quarantined requests, each.
 	maxPrints = 1024
 )
@@ -44,6 +44,10 @@
 // Keeper is what one instance knows. The zero value suspects nobody. It is not
 // safe for concurrent use.
 type Keeper struct {
+	// Proof is how many crashes are proof; 0 stands for two. Where suspects do not
+	// run alone, chance may put one request at two crashes.
+	Proof int
+
 	suspects map[Print]*suspect
 	// until holds when each quarantine ends.
 	until map[Print]time.Time
@@ -147,7 +151,11 @@
 }
 
 func (k *Keeper) judge(now time.Time, print Print, s *suspect) bool {
-	return s.count() >= crashesToQuarantine && k.Quarantine(now, print)
+	proof := k.Proof
+	if proof == 0 {
+		proof = defaultProof
+	}
+	return s.count() >= proof && k.Quarantine(now, print)
 }
 
 // suspect returns the record of a request and makes room for it.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -259,11 +260,30 @@
 	default:
 		s.outcome = steerer.OutcomeBad
 		if r.Suspects != nil {
-			r.Suspects.Crashed(req.print)
+			go r.confirmCrash(req, s.server)
 		}
 	}
 }
 
+// Timing of looking whether a server crashed.
+const (
+	crashWait    = 20 * time.Millisecond
+	crashTimeout = 300 * time.Millisecond
+)
+
+// confirmCrash holds a broken connection against the request if the server is
+// gone. One that still takes connections only broke off.
+func (r *Relayer) confirmCrash(req *request, server *steerer.Server) {
+	time.Sleep(crashWait)
+	conn, err := net.DialTimeout("tcp", server.Backend.Address, crashTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	r.Log.Info("server-crashed", "request-id", req.id, "service", req.service, "server", server.Backend.ID, "print", req.print)
+	r.Suspects.Crashed(req.print)
+}
+
 // judgeReply says what a whole answer means.
 func (r *Relayer) judgeReply(req *request, s *send) {
 	reply := s.reply
--- a/retrier/window.go
+++ b/retrier/window.go
@@ -17,6 +17,10 @@
 	Span time.Duration
 }
 
+// kept is the part of the share that is used. Instances may count by different
+// spans, and requests reach servers a little later than they are counted here.
+const kept = 0.92
+
 // Window counts requests and repeats of one service over a sliding time. The
 // zero value is ready to use.
 type Window struct {
@@ -45,7 +49,7 @@
 	for _, back := range []time.Duration{0, share.Span / 2, share.Span} {
 		requests = max(requests, count(w.requests, now.Add(-back-share.Span), now.Add(-back)))
 	}
-	most := share.Ratio*float64(requests) + share.Slack/float64(max(instances, 1))
+	most := kept * (share.Ratio*float64(requests) + share.Slack/float64(max(instances, 1)))
 	if float64(len(w.repeats)+1) > most {
 		return false
 	}
--- /dev/null
+++ b/retrier/window_test.go
@@ -0,0 +1,78 @@
+package retrier_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"lagoonstile/retrier"
+)
+
+// TestWindowKeepsTheFleetsBudget draws requests and repeats at several instances
+// and checks every span against the plain rule.
+func TestWindowKeepsTheFleetsBudget(t *testing.T) {
+	share := retrier.Share{Ratio: 0.2, Slack: 30, Span: 10 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		const instances = 3
+		windows := make([]retrier.Window, instances)
+		var requests, repeats []time.Time
+		now := time.Unix(1000, 0)
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			w := &windows[rapid.IntRange(0, instances-1).Draw(t, "instance")]
+			if rapid.Bool().Draw(t, "request") {
+				w.Request(now, share)
+				requests = append(requests, now)
+			}
+			if w.Take(now, share, instances) {
+				repeats = append(repeats, now)
+			}
+			most := 0
+			for _, back := range []time.Duration{0, share.Span / 2, share.Span} {
+				// Each instance may count another of the three spans.
+				most += within(requests, now.Add(-back), share.Span)
+			}
+			if got := within(repeats, now, share.Span); float64(got) > share.Ratio*float64(most)+share.Slack {
+				t.Fatalf("%d repeats in %v for at most %d requests", got, share.Span, most)
+			}
+		}
+	})
+}
+
+func within(times []time.Time, until time.Time, span time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if at.After(until.Add(-span)) && !at.After(until) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestRepeatsFollowACrowd checks that the requests of a burst that is over still
+// earn, and what was given back is there again.
+func TestRepeatsFollowACrowd(t *testing.T) {
+	share := retrier.Share{Ratio: 0.2, Span: 10 * time.Second}
+	now := time.Unix(1000, 0)
+	var w retrier.Window
+	for range 50 {
+		w.Request(now, share)
+	}
+	later := now.Add(12 * time.Second)
+	for n := range 9 {
+		if !w.Take(later, share, 5) {
+			t.Fatalf("repeat %d of 9 is refused", n+1)
+		}
+	}
+	if w.Take(later, share, 5) {
+		t.Fatal("a tenth repeat is allowed for 50 requests: over 92 in 100 of the budget")
+	}
+	w.GiveBack()
+	if !w.Take(later, share, 5) {
+		t.Error("what was given back can't be taken")
+	}
+	if w.Take(now.Add(25*time.Second), share, 5) {
+		t.Error("requests of 25 s ago still earn")
+	}
+}
--- /dev/null
+++ b/router/plan_test.go
@@ -0,0 +1,71 @@
+package router_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lagoonstile"
+	"lagoonstile/router"
+)
+
+func plannedRoute(name, host, prefix string) lagoonstile.PlannedRoute {
+	return lagoonstile.PlannedRoute{
+		Name: name, Host: host, PathPrefix: prefix, Objective: time.Second, Timeout: time.Second, MaxAttempts: 1,
+		Targets: []lagoonstile.WeightedService{{Service: "a", Weight: 1}},
+	}
+}
+
+// TestPlanTablePrefersTheLongestPrefix looks routes up by host and path.
+func TestPlanTablePrefersTheLongestPrefix(t *testing.T) {
+	table := router.NewPlanTable(&lagoonstile.Plan{Version: 1, Routes: []lagoonstile.PlannedRoute{
+		plannedRoute("root", "a.example", "/"),
+		plannedRoute("stock", "a.example", "/stock/"),
+		plannedRoute("photo", "A.example", "/stock/photo/"),
+		plannedRoute("other", "b.example", "/only/"),
+	}})
+	tests := []struct{ host, path, want string }{
+		{"a.example", "/", "root"},
+		{"a.example", "/stock", "root"},
+		{"a.example", "/stock/", "stock"},
+		{"a.example", "/stock/7", "stock"},
+		{"a.example", "/stock/photo/7/8", "photo"},
+		{"A.EXAMPLE:8080", "/stock/photo/", "photo"},
+		{"b.example", "/only/x", "other"},
+		{"b.example", "/else", "none"},
+		{"c.example", "/", "none"},
+	}
+	for _, test := range tests {
+		got := "none"
+		if route := table.Route(test.host, test.path); route != nil {
+			got = route.Name
+		}
+		if diff := cmp.Diff(test.want, got); diff != "" {
+			t.Errorf("route of %s%s (-want +got):\n%s", test.host, test.path, diff)
+		}
+	}
+}
+
+// TestSplitHoldsItsShares checks shares after few requests and after many.
+func TestSplitHoldsItsShares(t *testing.T) {
+	route := plannedRoute("split", "a.example", "/")
+	route.Targets = []lagoonstile.WeightedService{{Service: "a", Weight: 70}, {Service: "b", Weight: 20}, {Service: "c", Weight: 10}, {Service: "d"}}
+	for _, n := range []int{20, 1000} {
+		for _, start := range []float64{0, 0.3, 0.99} {
+			got := make(map[lagoonstile.ServiceID]float64)
+			for i := range n {
+				got[router.Split(&route, uint64(i), start)] += 1 / float64(n)
+			}
+			for _, target := range route.Targets {
+				if off := math.Abs(got[target.Service] - target.Weight/100); off > 0.1 {
+					t.Errorf("after %d requests from %v: service %s has %.2f, want %.2f", n, start, target.Service, got[target.Service], target.Weight/100)
+				}
+			}
+			if got["d"] > 0 {
+				t.Errorf("a service of weight 0 has %.2f", got["d"])
+			}
+		}
+	}
+}
--- a/runner/node.go
+++ b/runner/node.go
@@ -16,6 +16,7 @@
 	"lagoonstile/allocator"
 	"lagoonstile/listener"
 	"lagoonstile/messenger"
+	"lagoonstile/quarantiner"
 	"lagoonstile/recorder"
 	"lagoonstile/relayer"
 	"lagoonstile/retrier"
@@ -45,6 +46,9 @@
 	// fleetMemory is how long a silent peer counts for the size of the fleet:
 	// its repeats of that time still count.
 	fleetMemory = 10 * time.Second
+	// crashesAreProof is how many servers a request must crash before it is run no
+	// more.
+	crashesAreProof = 3
 )
 
 // Node is one instance of a fleet whose servers and members register themselves.
@@ -92,7 +96,7 @@
 		recorder:    recorder.New(),
 		peers:       make(map[lagoonstile.InstanceID]*nodePeer),
 	}
-	n.suspects = &nodeSuspects{node: n}
+	n.suspects = &nodeSuspects{node: n, keeper: quarantiner.Keeper{Proof: crashesAreProof}}
 	n.allocator = allocator.New(settings.Rules, settings.FailureDomain, n.tellUrgent)
 	n.relayer = &relayer.Relayer{
 		Headers:   settings.Headers,
@@ -229,8 +233,8 @@
 		add(n.callers.Address(), n.settings.FailureDomain)
 	}
 	for _, peer := range n.alive(now) {
-		if !peer.Leaving && peer.Version > 0 {
-			add(peer.CallerAddress, peer.FailureDomain)
+		if !peer.digest.Leaving && peer.digest.Version > 0 {
+			add(peer.member.CallerAddress, peer.member.FailureDomain)
 		}
 	}
 	if len(close) > 0 {
@@ -239,14 +243,14 @@
 	return all
 }
 
-// alive returns what the peers that were heard of lately last said.
-func (n *Node) alive(now time.Time) []messenger.Digest {
+// alive returns the peers that were heard of lately.
+func (n *Node) alive(now time.Time) []nodePeer {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	var alive []messenger.Digest
+	var alive []nodePeer
 	for _, peer := range n.peers {
 		if now.Sub(peer.heard) <= peerTimeout {
-			alive = append(alive, peer.digest)
+			alive = append(alive, *peer)
 		}
 	}
 	return alive
@@ -256,9 +260,9 @@
 func (n *Node) Ahead() (lagoonstile.Version, lagoonstile.Offset) {
 	var version lagoonstile.Version
 	var entries lagoonstile.Offset
-	for _, digest := range n.alive(time.Now()) {
-		version = max(version, digest.Version)
-		entries = max(entries, digest.Entries)
+	for _, peer := range n.alive(time.Now()) {
+		version = max(version, peer.digest.Version)
+		entries = max(entries, peer.digest.Entries)
 	}
 	return version, entries
 }
@@ -277,22 +281,22 @@
 	return size
 }
 
-// hear takes in a digest of a member.
-func (n *Node) hear(digest messenger.Digest) {
+// hear takes in what a member says.
+func (n *Node) hear(from lagoonstile.InstanceID, digest messenger.Digest) {
 	n.mu.Lock()
-	peer := n.peers[digest.Origin]
+	peer := n.peers[from]
 	if peer == nil {
 		n.mu.Unlock()
 		return
 	}
 	if peer.heard.IsZero() || time.Since(peer.heard) > peerTimeout {
-		n.log.Info("peer-heard", "peer", digest.Origin, "incarnation", digest.Incarnation)
+		n.log.Info("peer-heard", "peer", from, "incarnation", digest.Incarnation)
 	}
 	peer.heard = time.Now()
 	peer.digest = digest
 	n.mu.Unlock()
-	n.suspects.hear(digest)
-	n.allocator.Hear(steerer.Peer{Instance: digest.Origin, Incarnation: digest.Incarnation}, digest.Reports)
+	n.suspects.hear(from, digest)
+	n.allocator.Hear(steerer.Peer{Instance: from, Incarnation: digest.Incarnation}, digest.Reports)
 }
 
 // tellUrgent tells peers of a failure at once.
@@ -305,14 +309,11 @@
 // Own returns the node's digest without reports.
 func (n *Node) Own() messenger.Digest {
 	return messenger.Digest{
-		Origin:        n.settings.Instance,
-		Incarnation:   n.incarnation,
-		Version:       n.Version(),
-		Leaving:       n.leaving.Load(),
-		CallerAddress: n.callers.Address(),
-		FailureDomain: n.settings.FailureDomain,
-		Crashes:       n.suspects.tell(),
-		Entries:       lagoonstile.Offset(n.entries.Load()),
+		Incarnation: n.incarnation,
+		Version:     n.Version(),
+		Leaving:     n.leaving.Load(),
+		Crashes:     n.suspects.tell(),
+		Entries:     lagoonstile.Offset(n.entries.Load()),
 	}
 }
 
--- a/runner/nodesuspects.go
+++ b/runner/nodesuspects.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"lagoonstile"
 	"lagoonstile/messenger"
 	"lagoonstile/quarantiner"
 	"lagoonstile/relayer"
@@ -45,12 +46,12 @@
 }
 
 // hear takes in what a peer says of requests.
-func (s *nodeSuspects) hear(digest messenger.Digest) {
+func (s *nodeSuspects) hear(from lagoonstile.InstanceID, digest messenger.Digest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for print, crashes := range digest.Crashes {
-		if s.keeper.PeerCrashed(time.Now(), digest.Origin, quarantiner.Print(print), crashes) {
-			s.node.log.Warn("request-quarantined", "print", print, "by", digest.Origin)
+		if s.keeper.PeerCrashed(time.Now(), from, quarantiner.Print(print), crashes) {
+			s.node.log.Warn("request-quarantined", "print", print, "by", from)
 		}
 	}
 }
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -69,7 +69,7 @@
 	// probability of failing.
 	loadWeight = 0.06
 	// farWeight and farLargeWeight are the cost of another failure domain.
-	farWeight      = 0.004
+	farWeight      = 0.03
 	farLargeWeight = 0.35
 	// coldWeight is the cost of a server that is still slow after its start.
 	coldWeight = 0.05
@@ -418,7 +418,7 @@
 		if !server.usable(now) || now.Sub(server.offered) < after || server.load(now) > 0 {
 			continue
 		}
-		if server.belief.At(now, s.rules) >= below {
+		if server.belief.At(now, s.rules) >= below || (ticket.Large && server.Backend.FailureDomain != s.near) {
 			continue
 		}
 		if idle == nil || server.offered.Before(idle.offered) {
