--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -18,6 +18,9 @@
 	rules  steerer.Rules
 	near   lagoonstile.FailureDomain
 	urgent func(lagoonstile.ServiceID, steerer.Report)
+	// Changed is called for each change of mind about a server; it must not
+	// block. It may be nil and must be set before the first request.
+	Changed func(steerer.Change)
 
 	mu       sync.Mutex
 	services map[lagoonstile.ServiceID]*steerer.Service
@@ -96,7 +99,9 @@
 // Overdue notes that a request has been at a server for too long.
 func (a *Allocator) Overdue(id lagoonstile.ServiceID, server *steerer.Server) {
 	a.mu.Lock()
-	a.service(id).Overdue(time.Now(), server)
+	service := a.service(id)
+	service.Overdue(time.Now(), server)
+	a.tellChanges(service)
 	report := server.Report()
 	a.mu.Unlock()
 	a.urgent(id, report)
@@ -125,7 +130,9 @@
 // Settle says how the send of a granted ticket ended, and how long it took.
 func (a *Allocator) Settle(id lagoonstile.ServiceID, server *steerer.Server, outcome steerer.Outcome, took time.Duration) {
 	a.mu.Lock()
-	wake(a.service(id).Settle(time.Now(), server, outcome, took))
+	service := a.service(id)
+	wake(service.Settle(time.Now(), server, outcome, took))
+	a.tellChanges(service)
 	report := server.Report()
 	a.mu.Unlock()
 	switch outcome {
@@ -134,6 +141,15 @@
 	}
 }
 
+// tellChanges must be called with the lock held.
+func (a *Allocator) tellChanges(service *steerer.Service) {
+	for _, change := range service.Changes() {
+		if a.Changed != nil {
+			a.Changed(change)
+		}
+	}
+}
+
 // Hear takes in what a peer says of servers.
 func (a *Allocator) Hear(from steerer.Peer, reports []steerer.Report) {
 	a.mu.Lock()
@@ -144,6 +160,7 @@
 			known, granted := service.Hear(now, from, report)
 			wake(granted)
 			if known {
+				a.tellChanges(service)
 				break
 			}
 		}
--- a/cmd/lagoonstile/main.go
+++ b/cmd/lagoonstile/main.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"lagoonstile/loader"
+	"lagoonstile/logger"
 	"lagoonstile/platform"
 	"lagoonstile/runner"
 )
@@ -33,8 +34,10 @@
 	}
 	chosen := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if chosen == onPlatform.FullCommand() {
-		log := slog.New(slog.NewTextHandler(os.Stdout, nil))
-		if err := platform.Serve(os.Getenv(platform.EnvSettings), log); err != nil {
+		out := logger.New(os.Stdout, logger.DefaultBudget)
+		err := platform.Serve(os.Getenv(platform.EnvSettings), out.Log())
+		out.Close()
+		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			os.Exit(exitFailed)
 		}
--- a/house_test.go
+++ b/house_test.go
@@ -3,6 +3,7 @@
 import (
 	"go/parser"
 	"go/token"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -15,11 +16,14 @@
 // deciders know nothing of sockets, clocks of the machine, or goroutines' edges.
 var deciders = []string{
 	".", "answerer", "auditor", "configurer", "controller", "counter", "deduplicator", "detector", "ejector",
-	"encoder", "gossiper", "limiter", "locator", "picker", "quarantiner", "retrier", "router", "scheduler",
+	"encoder", "gossiper", "limiter", "locator", "picker", "quarantiner", "retrier", "router", "scheduler", "steerer",
 }
 
 // edges may not be imported by deciders.
-var edges = []string{"caller", "connector", "dispatcher", "forwarder", "linker", "listener", "loader", "operator", "recorder", "runner"}
+var edges = []string{
+	"allocator", "caller", "connector", "dispatcher", "exchanger", "forwarder", "linker", "listener", "loader", "logger",
+	"messenger", "operator", "platform", "recorder", "relayer", "runner",
+}
 
 // TestImportsGoOneWay keeps edges and sockets out of the deciders.
 func TestImportsGoOneWay(t *testing.T) {
@@ -90,6 +94,64 @@
 	}
 }
 
+// TestPlatformNamesStayInOneFolder looks for the users' platform's names in the
+// product.
+func TestPlatformNamesStayInOneFolder(t *testing.T) {
+	names := regexp.MustCompile(`keyed\.|X-[A-Z]|path_prefix|traffic_split|LAGOONSTILE_CONFIG|lagoonstile/platform"|/lagoonstile/(readyz|resolve|log-)`)
+	err := filepath.WalkDir(".", func(file string, entry fs.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case entry.IsDir() && (file == "platform" || file == filepath.Join("cmd", "standin") || file == filepath.Join("cmd", "lagoonstile")):
+			return filepath.SkipDir
+		case filepath.Ext(file) != ".go" || strings.HasSuffix(file, "_test.go"):
+			return nil
+		}
+		for _, name := range names.FindAllString(read(t, file), -1) {
+			if name != "X-F" { // X-Forwarded-For is everybody's.
+				t.Errorf("%s names %s", file, name)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestEventsAreDocumented keeps the log lines of a node on the platform and the
+// operators' page in step, both ways.
+func TestEventsAreDocumented(t *testing.T) {
+	files := append(sources(t, "platform"), sources(t, "relayer")...)
+	files = append(files, sources(t, "messenger")...)
+	files = append(files, sources(t, "logger")...)
+	files = append(files, "runner/node.go", "runner/nodesuspects.go")
+	written := make(map[string]bool)
+	event := regexp.MustCompile(`(?:\.(?:Info|Warn|Error)\(|event\w* *:?= )"([a-z-]+)"`)
+	for _, file := range files {
+		for _, match := range event.FindAllStringSubmatch(read(t, file), -1) {
+			written[match[1]] = true
+		}
+	}
+	_, section, found := strings.Cut(read(t, "docs/OPERATIONS.md"), "### Events on the platform")
+	if !found {
+		t.Fatal("docs/OPERATIONS.md has no section on events on the platform")
+	}
+	section, _, _ = strings.Cut(section, "\n#")
+	documented := make(map[string]bool)
+	for _, match := range regexp.MustCompile("(?m)^\\| `([a-z-]+)` \\|").FindAllStringSubmatch(section, -1) {
+		documented[match[1]] = true
+		if !written[match[1]] {
+			t.Errorf("docs/OPERATIONS.md has %s, which nothing writes", match[1])
+		}
+	}
+	for name := range written {
+		if !documented[name] {
+			t.Errorf("%s is written and not in docs/OPERATIONS.md", name)
+		}
+	}
+}
+
 func read(t *testing.T, file string) string {
 	t.Helper()
 	data, err := os.ReadFile(file)
--- /dev/null
+++ b/logger/logger_test.go
@@ -0,0 +1,75 @@
+package logger_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"lagoonstile/logger"
+)
+
+// TestRequestLinesHaveABudget writes more lines about requests than allowed, and
+// lines about state besides.
+func TestRequestLinesHaveABudget(t *testing.T) {
+	var out bytes.Buffer
+	l := logger.New(&out, 10)
+	log := l.Log().With("instance", "edge-1")
+	for range 500 {
+		log.Info("send-ended", logger.RequestKey, "7", "outcome", "bad")
+	}
+	for range 50 {
+		log.Info("server-doubted", "server", "s1")
+	}
+	l.Close()
+	text := out.String()
+	// The lines may fall into two seconds.
+	if n := strings.Count(text, "msg=send-ended"); n < 10 || n > 20 {
+		t.Errorf("%d lines about requests, want 10 a second", n)
+	}
+	if n := strings.Count(text, "msg=server-doubted"); n != 50 {
+		t.Errorf("%d lines about state, want 50", n)
+	}
+	if !strings.Contains(text, "msg=lines-left-out event=send-ended lines=4") {
+		t.Errorf("nothing tells how many lines were left out:\n%s", text)
+	}
+}
+
+// blocked is a pipe that nobody reads, until it is opened.
+type blocked struct {
+	open chan struct{}
+	mu   sync.Mutex
+	out  bytes.Buffer
+}
+
+func (b *blocked) Write(line []byte) (int, error) {
+	<-b.open
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.out.Write(line)
+}
+
+// TestFullPipeBlocksNobody logs into a pipe that takes nothing.
+func TestFullPipeBlocksNobody(t *testing.T) {
+	out := &blocked{open: make(chan struct{})}
+	l := logger.New(out, 1000000)
+	log := l.Log()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for range 20000 {
+			log.Info("plan-in-force", "version", 7)
+		}
+	}()
+	select {
+	case <-done:
+	case <-time.After(time.Minute):
+		t.Fatal("a full pipe makes the process wait")
+	}
+	close(out.open)
+	l.Close()
+	if !strings.Contains(out.out.String(), "msg=lines-left-out event=plan-in-force") {
+		t.Error("nothing tells that lines were left out")
+	}
+}
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -27,6 +27,7 @@
 	"lagoonstile/answerer"
 	"lagoonstile/exchanger"
 	"lagoonstile/listener"
+	"lagoonstile/logger"
 	"lagoonstile/quarantiner"
 	"lagoonstile/retrier"
 	"lagoonstile/router"
@@ -153,7 +154,7 @@
 		return
 	}
 	if _, err := io.Copy(w, reply.Rest); err != nil {
-		r.Log.Warn("answer-broken", "request-id", req.id, "route", req.route.Name, "cause", err)
+		r.Log.Warn("answer-broken", logger.RequestKey, req.id, "route", req.route.Name, "cause", err)
 		listener.Abort(w)
 	}
 }
@@ -172,7 +173,7 @@
 	id := httpReq.Header.Get(r.Headers.RequestID)
 	failure.Write(w, id)
 	r.record("none", failure.Kind, answerer.Lookup(failure.Kind).Status, arrived)
-	r.Log.Info("request-refused", "request-id", id, "host", httpReq.Host, "path", httpReq.URL.Path,
+	r.Log.Info("request-refused", logger.RequestKey, id, "host", httpReq.Host, "path", httpReq.URL.Path,
 		"kind", failure.Kind, "cause", failure.Cause)
 }
 
@@ -180,7 +181,7 @@
 func (r *Relayer) fail(w http.ResponseWriter, req *request, failure *answerer.Failure) {
 	failure.Write(w, req.id)
 	r.record(req.route.Name, failure.Kind, answerer.Lookup(failure.Kind).Status, req.arrived)
-	r.Log.Info("request-failed", "request-id", req.id, "route", req.route.Name, "service", req.service,
+	r.Log.Info("request-failed", logger.RequestKey, req.id, "route", req.route.Name, "service", req.service,
 		"kind", failure.Kind, "outcome", failure.Outcome(), "held-ms", time.Since(req.arrived).Milliseconds(),
 		"retry-after", failure.RetryAfter, "cause", failure.Cause)
 }
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -14,6 +14,7 @@
 
 	"lagoonstile/answerer"
 	"lagoonstile/exchanger"
+	"lagoonstile/logger"
 	"lagoonstile/quarantiner"
 	"lagoonstile/steerer"
 )
@@ -40,6 +41,10 @@
 	mayHaveRun bool
 	// unplaced says that no server was found in time.
 	unplaced bool
+	// basis is what the choice of the server rested on, and waited the time until
+	// it was made.
+	basis  steerer.Basis
+	waited time.Duration
 }
 
 // run is the sends of one request.
@@ -113,7 +118,7 @@
 		return
 	}
 	if r.relayer.window(r.req.service).Take(time.Now(), r.relayer.Share(), r.relayer.Instances()) {
-		r.relayer.Log.Info("hedged", "request-id", r.req.id, "service", r.req.service)
+		r.relayer.Log.Info("hedged", logger.RequestKey, r.req.id, "service", r.req.service)
 		r.launch(ctx, true)
 	}
 }
@@ -160,7 +165,7 @@
 		return true
 	}
 	if !r.relayer.window(r.req.service).Take(time.Now(), r.relayer.Share(), r.relayer.Instances()) {
-		r.relayer.Log.Info("repeat-refused", "request-id", r.req.id, "service", r.req.service, "sends", r.sends)
+		r.relayer.Log.Info("repeat-refused", logger.RequestKey, r.req.id, "service", r.req.service, "sends", r.sends)
 		return false
 	}
 	r.launch(ctx, true)
@@ -216,6 +221,8 @@
 	})
 	hedging := time.AfterFunc(r.relayer.Allocator.Hedge(r.req.service, r.req.route.Objective), func() { r.slow <- struct{}{} })
 	s := r.relayer.offer(ctx, r.req, ticket.Server)
+	s.basis = ticket.Basis
+	s.waited = began.Sub(r.req.arrived)
 	timer.Stop()
 	hedging.Stop()
 	outcome := s.outcome
@@ -280,7 +287,7 @@
 		_ = conn.Close()
 		return
 	}
-	r.Log.Info("server-crashed", "request-id", req.id, "service", req.service, "server", server.Backend.ID, "print", req.print)
+	r.Log.Info("server-crashed", logger.RequestKey, req.id, "service", req.service, "server", server.Backend.ID, "print", req.print)
 	r.Suspects.Crashed(req.print)
 }
 
@@ -325,14 +332,22 @@
 	s.err = cause
 }
 
-// note logs a send that did not end well and counts every one.
+// sampleEvery is how many good first sends there are for each that is logged.
+const sampleEvery = 128
+
+// note counts a send, and logs it if it is part of more than a plain success.
 func (r *Relayer) note(req *request, s *send, repeat bool) {
 	if r.Recorder != nil {
 		r.Recorder.Sent(req.service, string(s.outcome), repeat)
 	}
-	if s.outcome == steerer.OutcomeGood && !repeat {
+	plain := s.outcome == steerer.OutcomeGood && !repeat && time.Since(req.arrived) <= req.route.Objective
+	if plain && r.serial.Add(1)%sampleEvery != 0 {
 		return
 	}
-	r.Log.Info("send-ended", "request-id", req.id, "service", req.service, "server", s.server.Backend.ID,
-		"outcome", s.outcome, "repeat", repeat, "held-ms", time.Since(req.arrived).Milliseconds(), "cause", s.err)
+	r.Log.Info("send-ended", logger.RequestKey, req.id, "route", req.route.Name, "service", req.service,
+		"server", s.server.Backend.ID, "outcome", s.outcome, "repeat", repeat,
+		"waited-ms", s.waited.Milliseconds(), "held-ms", time.Since(req.arrived).Milliseconds(),
+		"left-ms", time.Until(req.deadline).Milliseconds(),
+		"failing", strconv.FormatFloat(s.basis.Failing, 'f', 3, 64), "evidence-age-ms", s.basis.Age.Milliseconds(),
+		"load", s.basis.Load, "waiting", s.basis.Waiting, "cause", s.err)
 }
--- a/runner/node.go
+++ b/runner/node.go
@@ -84,7 +84,9 @@
 	member lagoonstile.Member
 	// announced and heard are when the member was last announced and heard of.
 	announced, heard time.Time
-	digest           messenger.Digest
+	// live is what the log last said.
+	live   bool
+	digest messenger.Digest
 }
 
 // StartNode starts a node. Requests are refused until there is a plan.
@@ -98,6 +100,7 @@
 	}
 	n.suspects = &nodeSuspects{node: n, keeper: quarantiner.Keeper{Proof: crashesAreProof}}
 	n.allocator = allocator.New(settings.Rules, settings.FailureDomain, n.tellUrgent)
+	n.allocator.Changed = n.noteChange
 	n.relayer = &relayer.Relayer{
 		Headers:   settings.Headers,
 		Table:     n.table.Load,
@@ -136,9 +139,36 @@
 func (n *Node) tick(ctx context.Context) {
 	for sleep(ctx, nodeTick) {
 		n.allocator.Tick()
+		n.notePeers(time.Now())
 	}
 }
 
+// notePeers logs peers that fell silent.
+func (n *Node) notePeers(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for id, peer := range n.peers {
+		if peer.live && now.Sub(peer.heard) > peerTimeout {
+			peer.live = false
+			n.log.Warn("peer-lost", "peer", id, "silent-ms", now.Sub(peer.heard).Milliseconds())
+		}
+	}
+}
+
+// noteChange logs a change of mind about a server.
+func (n *Node) noteChange(change steerer.Change) {
+	event := "server-trusted"
+	if change.Doubted {
+		event = "server-doubted"
+	}
+	from := change.From
+	if from == "" {
+		from = n.settings.Instance
+	}
+	n.log.Info(event, "service", change.Service, "server", change.Server, "from", from,
+		"failing", fmt.Sprintf("%.2f", change.Failing), "good", change.Good, "bad", change.Bad)
+}
+
 // Serve opens a further listener, which ends with the node.
 func (n *Node) Serve(address string, handler http.Handler) error {
 	l, err := listener.Listen(address, n.settings.Limits, handler)
@@ -289,7 +319,8 @@
 		n.mu.Unlock()
 		return
 	}
-	if peer.heard.IsZero() || time.Since(peer.heard) > peerTimeout {
+	if !peer.live {
+		peer.live = true
 		n.log.Info("peer-heard", "peer", from, "incarnation", digest.Incarnation)
 	}
 	peer.heard = time.Now()
--- a/runner/registry.go
+++ b/runner/registry.go
@@ -78,16 +78,6 @@
 	return true
 }
 
-// IDs lists the servers that are held, sorted.
-func (r *Registry) IDs() []lagoonstile.ServerID {
-	ids := make([]lagoonstile.ServerID, 0, len(r.entries))
-	for id := range r.entries {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // Backends returns the servers that are held, sorted by id.
 func (r *Registry) Backends() []lagoonstile.Backend {
 	backends := make([]lagoonstile.Backend, 0, len(r.entries))
--- a/steerer/report.go
+++ b/steerer/report.go
@@ -59,7 +59,7 @@
 	}
 	good, bad := report.Good-past.good, report.Bad-past.bad
 	if good+bad > 0 && (known || good+bad <= mostNews) {
-		server.belief.observe(now, s.rules, good, bad)
+		s.observe(now, server, from.Instance, good, bad)
 	}
 	if good+bad > 0 || report.InFlight > past.inFlight {
 		server.offered = now
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -97,6 +97,10 @@
 	// bestTolerance is what a server may be worse than the best one. When all
 	// servers fail alike, waiting for a better one helps nobody.
 	bestTolerance = 0.1
+	// doubtAt and trustAt are the beliefs at which the log says that a server is
+	// doubted, and no longer. Decisions go by the belief itself.
+	doubtAt = 0.5
+	trustAt = 0.2
 	// slowFactor times the mean time of good answers is slow.
 	slowFactor = 2.5
 	firstSlow  = 1500 * time.Millisecond
@@ -116,6 +120,8 @@
 	Key gossiper.Key
 
 	belief Belief
+	// doubted is what the last Change said.
+	doubted bool
 	// inFlight is how many requests of this instance are at the server.
 	inFlight int
 	// others is what each peer told last.
@@ -159,10 +165,34 @@
 	Granted chan struct{}
 	// Explores says that the server was idle and is being looked at.
 	Explores bool
+	// Basis is what the choice of the server rested on.
+	Basis Basis
 
 	waiting bool
 }
 
+// Basis is what was known of a server when it was chosen.
+type Basis struct {
+	// Failing is how likely it was to fail the request.
+	Failing float64
+	// Age is how old the last answer was that this rests on.
+	Age time.Duration
+	// Load is how many requests were at the server, Waiting how many waited here.
+	Load, Waiting int
+}
+
+// Change is a server that is believed faulty from now on, or no longer.
+type Change struct {
+	Service lagoonstile.ServiceID
+	Server  lagoonstile.ServerID
+	Doubted bool
+	// From is the peer whose report moved the belief; empty for own answers.
+	From lagoonstile.InstanceID
+	// Failing is how likely the server now is to fail a request.
+	Failing   float64
+	Good, Bad uint64
+}
+
 // Service steers the requests of one service. It is not safe for concurrent
 // use.
 type Service struct {
@@ -178,6 +208,8 @@
 	waiting []*Ticket
 	// mean is the smoothed time of good answers; 0 before the first.
 	mean time.Duration
+	// changes are those since the last call of Changes.
+	changes []Change
 }
 
 // New returns a steerer without servers for an instance in the given failure
@@ -298,10 +330,10 @@
 		server.good++
 		server.unreached = 0
 		s.learn(took)
-		server.belief.observe(now, s.rules, 1, 0)
+		s.observe(now, server, "", 1, 0)
 	case OutcomeBad, OutcomeSilent:
 		server.bad++
-		server.belief.observe(now, s.rules, 0, 1)
+		s.observe(now, server, "", 0, 1)
 	case OutcomeShed:
 		server.pause(now.Add(shedPause))
 	case OutcomeUnreached:
@@ -345,7 +377,7 @@
 func (s *Service) Overdue(now time.Time, server *Server) {
 	server.bad++
 	server.changed = now
-	server.belief.observe(now, s.rules, 0, 1)
+	s.observe(now, server, "", 0, 1)
 }
 
 // Tick returns the tickets that can go because time has passed.
@@ -371,12 +403,40 @@
 }
 
 func (s *Service) grant(now time.Time, ticket *Ticket, server *Server) {
+	ticket.Basis = Basis{
+		Failing: server.belief.failing(now, s.rules),
+		Age:     now.Sub(server.belief.at),
+		Load:    server.load(now),
+		Waiting: len(s.waiting),
+	}
 	server.inFlight++
 	server.changed = now
 	server.offered = now
 	ticket.Server = server
 }
 
+// observe takes answers of a server into the belief and notes a change of mind.
+func (s *Service) observe(now time.Time, server *Server, from lagoonstile.InstanceID, good, bad uint64) {
+	server.belief.observe(now, s.rules, good, bad)
+	faulty := server.belief.faulty
+	doubted := faulty >= doubtAt || (server.doubted && faulty > trustAt)
+	if doubted == server.doubted {
+		return
+	}
+	server.doubted = doubted
+	s.changes = append(s.changes, Change{
+		Service: server.Backend.Service, Server: server.Backend.ID, Doubted: doubted,
+		From: from, Failing: server.belief.failing(now, s.rules), Good: good, Bad: bad,
+	})
+}
+
+// Changes returns the changes of mind since the last call.
+func (s *Service) Changes() []Change {
+	changes := s.changes
+	s.changes = nil
+	return changes
+}
+
 // choose returns the server for a ticket, or nil when it must wait.
 func (s *Service) choose(now time.Time, ticket *Ticket) *Server {
 	if server := s.explore(now, ticket); server != nil {
