Keep looking at idle servers, a little less often

A server that is used is exposed to the start of its next spell; spreading light load over more servers than it needs costs a failure for each.

--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -82,11 +82,11 @@
 	// server anything when a request is sent there to see. Repeating an
 	// idempotent one costs little, so those go first.
 	exploreIdempotent = 900 * time.Millisecond
-	exploreOther      = 1600 * time.Millisecond
+	exploreOther      = 1700 * time.Millisecond
 	// exploreIdempotentBelow and exploreOtherBelow are the beliefs under which a
 	// server is worth such a request.
 	exploreIdempotentBelow = 0.6
-	exploreOtherBelow      = 0.45
+	exploreOtherBelow      = 0.4
 	// firstTolerance is how likely a server may be to fail a request that has not
 	// waited yet, and firstToleranceIdempotent the same for one that can be
 	// repeated. Tolerance grows with the time that a request has waited, and is
@@ -107,7 +107,7 @@
 	leastSlow  = 100 * time.Millisecond
 	// hedgeShare of the objective, and hedgeFactor times the mean, is when a
 	// second server is tried.
-	hedgeShare  = 0.55
+	hedgeShare  = 0.6
 	hedgeFactor = 1.3
 	// meanWeight is the weight of an answer in the mean.
 	meanWeight = 0.05
