Look at idle servers by turns, and tell peers only what is news

Change: an eighth of the fleet looks at a given idle server in a given turn; a good answer is told only while the server is not known to be sound, a load only when it nears the slots.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -24,6 +24,7 @@
 
 	mu       sync.Mutex
 	services map[lagoonstile.ServiceID]*steerer.Service
+	fleet    steerer.Fleet
 }
 
 // New returns an allocator without servers. The urgent function is called for
@@ -58,6 +59,7 @@
 	if a.services[id] == nil {
 		random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 		a.services[id] = steerer.New(a.rules, a.near, random)
+		a.services[id].SetFleet(a.fleet)
 	}
 	return a.services[id]
 }
@@ -67,12 +69,10 @@
 func (a *Allocator) Acquire(ctx context.Context, id lagoonstile.ServiceID, ticket *steerer.Ticket) error {
 	ticket.Granted = make(chan struct{}, 1)
 	if a.arrive(id, ticket) {
-		a.tellExplored(id, ticket)
 		return nil
 	}
 	select {
 	case <-ticket.Granted:
-		a.tellExplored(id, ticket)
 		return nil
 	case <-ctx.Done():
 	}
@@ -85,17 +85,6 @@
 	return nil
 }
 
-// tellExplored keeps peers from looking at the same server.
-func (a *Allocator) tellExplored(id lagoonstile.ServiceID, ticket *steerer.Ticket) {
-	if !ticket.Explores {
-		return
-	}
-	a.mu.Lock()
-	report := ticket.Server.Report()
-	a.mu.Unlock()
-	a.urgent(id, report)
-}
-
 // Overdue notes that a request has been at a server for too long.
 func (a *Allocator) Overdue(id lagoonstile.ServiceID, server *steerer.Server) {
 	a.mu.Lock()
@@ -179,6 +168,16 @@
 	return reports
 }
 
+// SetFleet says which place this instance has among the live ones.
+func (a *Allocator) SetFleet(fleet steerer.Fleet) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fleet = fleet
+	for _, service := range a.services {
+		service.SetFleet(fleet)
+	}
+}
+
 // Tick lets go what can go because time has passed.
 func (a *Allocator) Tick() {
 	a.mu.Lock()
--- a/runner/node.go
+++ b/runner/node.go
@@ -143,16 +143,25 @@
 	}
 }
 
-// notePeers logs peers that fell silent.
+// notePeers logs peers that fell silent and finds this node's place among those
+// that live.
 func (n *Node) notePeers(now time.Time) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
+	fleet := steerer.Fleet{Size: 1}
 	for id, peer := range n.peers {
 		if peer.live && now.Sub(peer.heard) > peerTimeout {
 			peer.live = false
 			n.log.Warn("peer-lost", "peer", id, "silent-ms", now.Sub(peer.heard).Milliseconds())
 		}
+		if peer.live {
+			fleet.Size++
+			if id < n.settings.Instance {
+				fleet.Place++
+			}
+		}
 	}
+	n.mu.Unlock()
+	n.allocator.SetFleet(fleet)
 }
 
 // noteChange logs a change of mind about a server.
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -73,6 +73,11 @@
 	farLargeWeight = 0.35
 	// coldWeight is the cost of a server that is still slow after its start.
 	coldWeight = 0.05
+	// newsAbove is the belief above which a good answer is news to peers, and
+	// busyLoad the requests at a server from which on peers should know of each.
+	// Where nothing is news, the messages of a fleet don't grow with its traffic.
+	newsAbove = 0.04
+	busyLoad  = 4
 	// jitterWeight spreads instances that know the same.
 	jitterWeight = 0.01
 	// spareSlots lets requests queue at a server so that no slot is idle while
@@ -83,6 +88,11 @@
 	// idempotent one costs little, so those go first.
 	exploreIdempotent = 900 * time.Millisecond
 	exploreOther      = 1700 * time.Millisecond
+	// exploreTurn is how long the same instances look at an idle server, and
+	// exploreShare the share of the fleet that does, so that not all of them send
+	// their next request there.
+	exploreTurn  = 700 * time.Millisecond
+	exploreShare = 0.125
 	// exploreIdempotentBelow and exploreOtherBelow are the beliefs under which a
 	// server is worth such a request.
 	exploreIdempotentBelow = 0.6
@@ -163,8 +173,6 @@
 	Server *Server
 	// Granted is for the owner of the steerer, who is told of grants.
 	Granted chan struct{}
-	// Explores says that the server was idle and is being looked at.
-	Explores bool
 	// Basis is what the choice of the server rested on.
 	Basis Basis
 
@@ -210,8 +218,20 @@
 	mean time.Duration
 	// changes are those since the last call of Changes.
 	changes []Change
+	// fleet is this instance's place among the live ones.
+	fleet Fleet
 }
 
+// Fleet is an instance's place among those that look at idle servers. The zero
+// value is an instance on its own.
+type Fleet struct {
+	// Place is from 0 up to Size.
+	Place, Size int
+}
+
+// SetFleet says who else looks at idle servers.
+func (s *Service) SetFleet(fleet Fleet) { s.fleet = fleet }
+
 // New returns a steerer without servers for an instance in the given failure
 // domain.
 func New(rules Rules, near lagoonstile.FailureDomain, random *rand.Rand) *Service {
@@ -323,8 +343,10 @@
 
 // Settle ends a grant, with the time that it took, and returns the tickets that can go now.
 func (s *Service) Settle(now time.Time, server *Server, outcome Outcome, took time.Duration) []*Ticket {
+	if outcome != OutcomeGood || server.belief.At(now, s.rules) > newsAbove || server.load(now) >= busyLoad {
+		server.changed = now
+	}
 	server.inFlight--
-	server.changed = now
 	switch outcome {
 	case OutcomeGood:
 		server.good++
@@ -410,8 +432,10 @@
 		Waiting: len(s.waiting),
 	}
 	server.inFlight++
-	server.changed = now
 	server.offered = now
+	if ticket.Basis.Load >= busyLoad {
+		server.changed = now
+	}
 	ticket.Server = server
 }
 
@@ -440,10 +464,8 @@
 // choose returns the server for a ticket, or nil when it must wait.
 func (s *Service) choose(now time.Time, ticket *Ticket) *Server {
 	if server := s.explore(now, ticket); server != nil {
-		ticket.Explores = true
 		return server
 	}
-	ticket.Explores = false
 	var best *Server
 	bestCost := 0.0
 	tolerance := s.tolerance(now, ticket)
@@ -475,7 +497,7 @@
 	}
 	var idle *Server
 	for _, server := range s.order {
-		if !server.usable(now) || now.Sub(server.offered) < after || server.load(now) > 0 {
+		if !server.usable(now) || now.Sub(server.offered) < after || server.load(now) > 0 || !s.looksAt(now, server) {
 			continue
 		}
 		if server.belief.At(now, s.rules) >= below || (ticket.Large && server.Backend.FailureDomain != s.near) {
@@ -488,6 +510,21 @@
 	return idle
 }
 
+// looksAt reports whether it is this instance's turn to look at an idle server.
+func (s *Service) looksAt(now time.Time, server *Server) bool {
+	if s.fleet.Size <= 1 {
+		return true
+	}
+	turn := uint64(now.UnixMilli() / exploreTurn.Milliseconds())
+	first := (uint64(server.Key) + turn*turnStep) % uint64(s.fleet.Size)
+	distance := (uint64(s.fleet.Place) + uint64(s.fleet.Size) - first) % uint64(s.fleet.Size)
+	return float64(distance) < max(exploreShare*float64(s.fleet.Size), 1)
+}
+
+// turnStep goes on to other instances with each turn; it is prime, so that all
+// come in turn for fleets of almost any size.
+const turnStep = 7919
+
 // tolerance returns how likely the server of a ticket may be to fail it.
 func (s *Service) tolerance(now time.Time, ticket *Ticket) float64 {
 	first := firstTolerance
