Take slots of a server that many want by turns

Change: half as many nodes as a server has slots may take slots of it in a turn of 100 ms, each two at most, whenever requests wait or the server is near full.

--- a/relayer/run.go
+++ b/relayer/run.go
@@ -123,6 +123,8 @@
 	}
 }
 
+var errClientLeft = errors.New("client left")
+
 var errQuarantined = errors.New("servers crashed on this request")
 
 // quarantinePause is when a request that crashes servers may be sent again.
@@ -182,6 +184,8 @@
 		return nil, &answerer.Failure{Kind: answerer.KindOverloaded, RetryAfter: busyPause, Cause: r.cause}
 	case !time.Now().Before(r.req.deadline):
 		return nil, &answerer.Failure{Kind: answerer.KindDeadline, MayHaveRun: true, Cause: r.cause}
+	case r.cause == nil && r.flying > 0:
+		return nil, &answerer.Failure{Kind: answerer.KindOutcomeUnknown, MayHaveRun: true, Cause: errClientLeft}
 	}
 	return nil, &answerer.Failure{Kind: answerer.KindServerFailed, MayHaveRun: true, Cause: r.cause}
 }
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -88,6 +88,10 @@
 	// idempotent one costs little, so those go first.
 	exploreIdempotent = 900 * time.Millisecond
 	exploreOther      = 1700 * time.Millisecond
+	// claimTurn is how long the same instances may take slots of a server that
+	// many want, and mostClaimed how many requests each may have there.
+	claimTurn   = 100 * time.Millisecond
+	mostClaimed = 2
 	// exploreTurn is how long the same instances look at an idle server, and
 	// exploreShare the share of the fleet that does, so that not all of them send
 	// their next request there.
@@ -477,6 +481,9 @@
 		if load >= server.Backend.Slots+spareSlots || server.belief.failing(now, s.rules) > tolerance {
 			continue
 		}
+		if (ticket.waiting || len(s.waiting) > 0 || load >= busyLoad) && !s.mayClaim(now, server) {
+			continue
+		}
 		cost := s.cost(now, ticket, server, load)
 		if best == nil || cost < bestCost {
 			best, bestCost = server, cost
@@ -510,15 +517,30 @@
 	return idle
 }
 
-// looksAt reports whether it is this instance's turn to look at an idle server.
-func (s *Service) looksAt(now time.Time, server *Server) bool {
-	if s.fleet.Size <= 1 {
+// mayClaim reports whether it is this instance's turn to take a slot of a server
+// that many want. What peers told of its load is old by a beat, and without
+// turns all of them would take the same free slot at once.
+func (s *Service) mayClaim(now time.Time, server *Server) bool {
+	claimants := max(server.Backend.Slots/2, 1)
+	if s.fleet.Size <= claimants {
 		return true
 	}
-	turn := uint64(now.UnixMilli() / exploreTurn.Milliseconds())
+	return server.inFlight < mostClaimed && s.inTurn(now, server, claimTurn, float64(claimants))
+}
+
+// looksAt reports whether it is this instance's turn to look at an idle server.
+func (s *Service) looksAt(now time.Time, server *Server) bool {
+	return s.fleet.Size <= 1 || s.inTurn(now, server, exploreTurn, max(exploreShare*float64(s.fleet.Size), 1))
+}
+
+// inTurn reports whether this instance is among those, so many in number, whose
+// turn it is at a server. Turns go around the fleet by the time of day; clocks
+// that differ only make more or fewer instances act at once.
+func (s *Service) inTurn(now time.Time, server *Server, length time.Duration, instances float64) bool {
+	turn := uint64(now.UnixMilli() / length.Milliseconds())
 	first := (uint64(server.Key) + turn*turnStep) % uint64(s.fleet.Size)
 	distance := (uint64(s.fleet.Place) + uint64(s.fleet.Size) - first) % uint64(s.fleet.Size)
-	return float64(distance) < max(exploreShare*float64(s.fleet.Size), 1)
+	return float64(distance) < instances
 }
 
 // turnStep goes on to other instances with each turn; it is prime, so that all
