Keep what requests read of a server apart from its latest entry

A torn address could have sent a request anywhere. Change: the entry that a run first registered never changes; slots, domain and draining are read from the latest one under the lock. The test of it fails under -race before the change.

--- /dev/null
+++ b/allocator/allocator_test.go
@@ -0,0 +1,103 @@
+package allocator_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"lagoonstile"
+	"lagoonstile/allocator"
+	"lagoonstile/steerer"
+)
+
+func entries(n int, draining bool) []lagoonstile.Backend {
+	var out []lagoonstile.Backend
+	for i := range n {
+		out = append(out, lagoonstile.Backend{
+			ID: lagoonstile.ServerID(fmt.Sprint("s", i)), Service: "orders", Address: fmt.Sprintf("10.0.0.%d:80", i),
+			Slots: 2, Draining: draining && i == 0,
+		})
+	}
+	return out
+}
+
+func newAllocator() *allocator.Allocator {
+	a := allocator.New(steerer.DefaultRules, "near", func(lagoonstile.ServiceID, steerer.Report) {})
+	a.SetBackends(entries(4, false))
+	return a
+}
+
+func ticket(wait time.Duration) *steerer.Ticket {
+	now := time.Now()
+	return &steerer.Ticket{Arrived: now, Until: now.Add(wait)}
+}
+
+// TestEntriesChangeUnderRequests takes entries in while requests read where they
+// were sent; the race detector sees what is shared.
+func TestEntriesChangeUnderRequests(t *testing.T) {
+	a := newAllocator()
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				next := ticket(time.Second)
+				if a.Acquire(context.Background(), "orders", next) != nil {
+					continue
+				}
+				if next.Server.Backend.Address == "" {
+					t.Error("a server without an address")
+				}
+				a.Settle("orders", next.Server, steerer.OutcomeGood, time.Millisecond)
+			}
+		}()
+	}
+	for n := range 200 {
+		a.SetBackends(entries(3+n%2, n%3 == 0))
+		a.Tick()
+	}
+	close(stop)
+	wg.Wait()
+}
+
+// TestWaitingEndsWithTheContext fills all slots and gives up.
+func TestWaitingEndsWithTheContext(t *testing.T) {
+	a := newAllocator()
+	var taken []*steerer.Ticket
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		next := ticket(time.Minute)
+		err := a.Acquire(ctx, "orders", next)
+		cancel()
+		if err != nil {
+			break
+		}
+		taken = append(taken, next)
+	}
+	if len(taken) < 8 {
+		t.Errorf("%d requests at 4 servers with 2 slots", len(taken))
+	}
+	if _, waiting := a.Load("orders"); waiting != 0 {
+		t.Errorf("%d requests still wait after they gave up", waiting)
+	}
+	done := make(chan error, 1)
+	go func() { done <- a.Acquire(context.Background(), "orders", ticket(time.Minute)) }()
+	a.Settle("orders", taken[0].Server, steerer.OutcomeGood, time.Millisecond)
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(time.Minute):
+		t.Error("a free slot wakes nobody")
+	}
+}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -129,10 +129,14 @@
 
 // Server is one run of one server as its service's steerer knows it.
 type Server struct {
+	// Backend is the entry that the run first registered. It never changes, for
+	// requests read it while entries are taken in.
 	Backend lagoonstile.Backend
 	// Key names the server in messages to peers.
 	Key gossiper.Key
 
+	// entry is the latest one of the run.
+	entry  lagoonstile.Backend
 	belief Belief
 	// doubted is what the last Change said.
 	doubted bool
@@ -269,12 +273,13 @@
 		server := s.servers[backend.ID]
 		if server == nil || server.Key != key {
 			server = &Server{
-				Key:    key,
-				belief: newBelief(now, s.rules),
-				others: make(map[Peer]heard),
+				Backend: backend,
+				Key:     key,
+				belief:  newBelief(now, s.rules),
+				others:  make(map[Peer]heard),
 			}
 		}
-		server.Backend = backend
+		server.entry = backend
 		server.warm = now.Add(backend.WarmupLeft)
 		kept[backend.ID] = server
 		s.byKey[key] = server
@@ -478,7 +483,7 @@
 			continue
 		}
 		load := server.load(now)
-		if load >= server.Backend.Slots+spareSlots || server.belief.failing(now, s.rules) > tolerance {
+		if load >= server.entry.Slots+spareSlots || server.belief.failing(now, s.rules) > tolerance {
 			continue
 		}
 		if (ticket.waiting || len(s.waiting) > 0 || load >= busyLoad) && !s.mayClaim(now, server) {
@@ -507,7 +512,7 @@
 		if !server.usable(now) || now.Sub(server.offered) < after || server.load(now) > 0 || !s.looksAt(now, server) {
 			continue
 		}
-		if server.belief.At(now, s.rules) >= below || (ticket.Large && server.Backend.FailureDomain != s.near) {
+		if server.belief.At(now, s.rules) >= below || (ticket.Large && server.entry.FailureDomain != s.near) {
 			continue
 		}
 		if idle == nil || server.offered.Before(idle.offered) {
@@ -521,7 +526,7 @@
 // that many want. What peers told of its load is old by a beat, and without
 // turns all of them would take the same free slot at once.
 func (s *Service) mayClaim(now time.Time, server *Server) bool {
-	claimants := max(server.Backend.Slots/2, 1)
+	claimants := max(server.entry.Slots/2, 1)
 	if s.fleet.Size <= claimants {
 		return true
 	}
@@ -576,11 +581,11 @@
 // cost weighs what may go wrong at a server, as a probability of failing.
 func (s *Service) cost(now time.Time, ticket *Ticket, server *Server, load int) float64 {
 	cost := server.belief.failing(now, s.rules)
-	cost += loadWeight * float64(load) / float64(server.Backend.Slots)
-	if load >= server.Backend.Slots {
+	cost += loadWeight * float64(load) / float64(server.entry.Slots)
+	if load >= server.entry.Slots {
 		cost += loadWeight
 	}
-	if server.Backend.FailureDomain != s.near {
+	if server.entry.FailureDomain != s.near {
 		if ticket.Large {
 			cost += farLargeWeight
 		} else {
@@ -594,7 +599,7 @@
 }
 
 func (v *Server) usable(now time.Time) bool {
-	return !v.Backend.Draining && !now.Before(v.pausedUntil)
+	return !v.entry.Draining && !now.Before(v.pausedUntil)
 }
 
 // load returns how many requests are at the server as far as is known.
