--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -120,6 +120,9 @@
 // Sent returns how many datagrams went out, and their bytes.
 func (m *Messenger) Sent() (datagrams, bytes int64) { return m.sent.Load(), m.sentBytes.Load() }
 
+// Strangers returns how many datagrams came from no member.
+func (m *Messenger) Strangers() int64 { return m.strangers.Load() }
+
 // Beat speaks to all members until the end of the context.
 func (m *Messenger) Beat(ctx context.Context) {
 	ticker := time.NewTicker(BeatInterval)
--- a/retrier/window.go
+++ b/retrier/window.go
@@ -57,15 +57,6 @@
 	return true
 }
 
-// GiveBack undoes the last Take, for a repeat that reached no server.
-func (w *Window) GiveBack() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if len(w.repeats) > 0 {
-		w.repeats = w.repeats[:len(w.repeats)-1]
-	}
-}
-
 func (w *Window) expire(now time.Time, span time.Duration) {
 	w.requests = after(w.requests, now.Add(-2*span))
 	w.repeats = after(w.repeats, now.Add(-span))
--- a/retrier/window_test.go
+++ b/retrier/window_test.go
@@ -51,7 +51,7 @@
 }
 
 // TestRepeatsFollowACrowd checks that the requests of a burst that is over still
-// earn, and what was given back is there again.
+// earn, for a while.
 func TestRepeatsFollowACrowd(t *testing.T) {
 	share := retrier.Share{Ratio: 0.2, Span: 10 * time.Second}
 	now := time.Unix(1000, 0)
@@ -68,10 +68,6 @@
 	if w.Take(later, share, 5) {
 		t.Fatal("a tenth repeat is allowed for 50 requests: over 92 in 100 of the budget")
 	}
-	w.GiveBack()
-	if !w.Take(later, share, 5) {
-		t.Error("what was given back can't be taken")
-	}
 	if w.Take(now.Add(25*time.Second), share, 5) {
 		t.Error("requests of 25 s ago still earn")
 	}
--- a/runner/node.go
+++ b/runner/node.go
@@ -388,6 +388,7 @@
 	datagrams, bytes := n.messenger.Sent()
 	n.recorder.Gauge("peers.datagrams", datagrams)
 	n.recorder.Gauge("peers.sent-bytes", bytes)
+	n.recorder.Gauge("peers.strangers", n.messenger.Strangers())
 	n.recorder.Gauge("peers.alive", int64(len(n.alive(time.Now()))))
 	n.recorder.Gauge("plan.version", int64(n.Version()))
 	n.recorder.Gauge("callers.connections", int64(n.callers.Connections()))
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -367,3 +367,38 @@
 		t.Error("a report on an unknown server is taken")
 	}
 }
+
+// TestBurstDoesNotCrowdOneServer is a burst at 17 instances that all hear at the
+// same moment that one server has free slots, and nothing of each other for a
+// beat. A server queues 24 requests before it sheds.
+func TestBurstDoesNotCrowdOneServer(t *testing.T) {
+	const instances, waiting, queue = 17, 4, 24
+	const beat = 300 * time.Millisecond
+	granted := 0
+	var held []*steerer.Service
+	for place := range instances {
+		s := newService(uint64(place))
+		s.SetFleet(steerer.Fleet{Place: place, Size: instances})
+		s.SetBackends(before, backends(4))
+		peer := steerer.Peer{Instance: "p", Incarnation: "1"}
+		for _, b := range backends(4) {
+			s.Hear(start, peer, steerer.Report{Key: steerer.KeyOf(b), Good: 3, InFlight: 7})
+		}
+		for range waiting {
+			if send(s, start, &steerer.Ticket{}) != nil {
+				t.Fatal("a request goes to a full server")
+			}
+		}
+		_, grants := s.Hear(start, peer, steerer.Report{Key: steerer.KeyOf(backend(0, near)), Good: 4, InFlight: 0})
+		granted += len(grants)
+		held = append(held, s)
+	}
+	for at := start; at.Sub(start) < beat; at = at.Add(20 * time.Millisecond) {
+		for _, s := range held {
+			granted += len(s.Tick(at))
+		}
+	}
+	if granted == 0 || granted > queue {
+		t.Errorf("%d of %d waiting requests go to the one server within a beat, want some and at most %d", granted, instances*waiting, queue)
+	}
+}
