Soak instances on stand-ins of the platform

Random faults of servers, store, configurations and instances, several at once, under load; each answer is held against what servers did, and the fleet must serve after it.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export GOFLAGS := -buildvcs=false
 export CGO_ENABLED := 1
 
-.PHONY: build demo test check fuzz bench soak measure slopes
+.PHONY: build demo test check fuzz bench soak soak-platform measure slopes
 
 build:
 	go build -o bin/ ./cmd/lagoonstile ./cmd/lagoonctl ./cmd/standin
@@ -35,6 +35,12 @@
 soak: build
 	./scripts/soak.sh
 
+# Random faults at whole instances on stand-ins of the users' platform.
+SOAK_FOR ?= 5m
+SOAK_SEED ?= 1
+soak-platform:
+	LAGOONSTILE_SOAK=$(SOAK_FOR) LAGOONSTILE_SOAK_SEED=$(SOAK_SEED) go test -race -v -timeout 60m -run TestSoak ./cmd/standin/rehearser
+
 # Measurements of the decisions in virtual time, and of what grows with size.
 measure:
 	go test -run xxx -bench . -benchtime 1x -timeout 30m ./cmd/standin/measurer
