--- a/cmd/standin/rehearser/rehearser_test.go
+++ b/cmd/standin/rehearser/rehearser_test.go
@@ -343,3 +343,21 @@
 		t.Errorf("the server that did not come back got a request %v after the store's return", last.Sub(back))
 	}
 }
+
+// TestRefusedInstanceDropsLeftServers turns one instance away from the store,
+// which its peers reach, and removes a server meanwhile: its entry did not lapse.
+func TestRefusedInstanceDropsLeftServers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 4)
+	w.store.SetFaults(emulator.StoreFaults{Down: "busy", Refused: []string{w.instances[0].settings.IP}})
+	w.startBackend("stock-new", "stock") // It ends the read under way.
+	time.Sleep(2 * time.Second)
+	left := time.Now()
+	w.backends["orders-0"].Unregister()
+	for time.Since(left) < 8*time.Second {
+		w.send(0, http.MethodPost, "/order/7")
+	}
+	if _, last := w.backends["orders-0"].Seen(); last.Sub(left) > 2*time.Second {
+		t.Errorf("the server got a request %v after it left", last.Sub(left))
+	}
+}
