--- a/cmd/standin/emulator/keyedstore.go
+++ b/cmd/standin/emulator/keyedstore.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strconv"
 	"strings"
@@ -26,6 +27,9 @@
 	Delay time.Duration
 	// LoseAnswers executes calls and resets their connections.
 	LoseAnswers bool
+	// Mute executes calls and leaves their connections open without an answer,
+	// those of reads that waited already included.
+	Mute bool
 }
 
 // KeyedStore is a stand-in for the users' platform's store: topics of keyed
@@ -147,7 +151,17 @@
 		reset(w)
 		return
 	}
-	s.answer(w, req)
+	answer := httptest.NewRecorder()
+	s.answer(answer, req)
+	s.mu.Lock()
+	mute := s.faults.Mute
+	s.mu.Unlock()
+	if mute {
+		<-req.Context().Done()
+		return
+	}
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes()) // A client that is gone needs no answer.
 }
 
 func (s *KeyedStore) answer(w http.ResponseWriter, req *http.Request) {
--- a/cmd/standin/rehearser/rehearser_test.go
+++ b/cmd/standin/rehearser/rehearser_test.go
@@ -361,3 +361,26 @@
 		t.Errorf("the server got a request %v after it left", last.Sub(left))
 	}
 }
+
+// TestReadsWithoutAnswerAreGivenUp has the store swallow the answers that all
+// instances wait for. Once it has been well for 3 s, servers that leave are known
+// in time again.
+func TestReadsWithoutAnswerAreGivenUp(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, 3)
+	w.store.SetFaults(emulator.StoreFaults{Mute: true})
+	w.startBackend("stock-new", "stock") // It ends the reads under way.
+	time.Sleep(300 * time.Millisecond)
+	w.store.SetFaults(emulator.StoreFaults{})
+	time.Sleep(3 * time.Second)
+	left := time.Now()
+	w.backends["orders-0"].Unregister()
+	for time.Since(left) < 4*time.Second {
+		for n := range 3 {
+			w.send(n, http.MethodPost, "/order/7")
+		}
+	}
+	if _, last := w.backends["orders-0"].Seen(); last.Sub(left) > 2*time.Second {
+		t.Errorf("the server got a request %v after it left", last.Sub(left))
+	}
+}
