Refuse at once what can't be served, and go around several silent servers

Change: the steerer refuses a ticket without a server left or with a foretold wait well over its time; the wait goes into Retry-After. Hedges follow as long as all sends under way are late, within max_attempts and budget.

--- a/allocator/allocator.go
+++ b/allocator/allocator.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -64,13 +65,20 @@
 	return a.services[id]
 }
 
+// ErrRefused says that no server will come in time for a ticket.
+var ErrRefused = errors.New("no server will have room in time")
+
 // Acquire waits until the ticket has a server. The caller must settle it. The
-// error is that of the context.
+// error is ErrRefused, at once, or that of the context; the ticket's Wait then
+// says after which time there may be room.
 func (a *Allocator) Acquire(ctx context.Context, id lagoonstile.ServiceID, ticket *steerer.Ticket) error {
 	ticket.Granted = make(chan struct{}, 1)
 	if a.arrive(id, ticket) {
 		return nil
 	}
+	if ticket.Refused {
+		return ErrRefused
+	}
 	select {
 	case <-ticket.Granted:
 		return nil
@@ -78,7 +86,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.service(id).Cancel(ticket) {
+	service := a.service(id)
+	if service.Cancel(ticket) {
+		ticket.Wait = service.Outlook(time.Now(), service.Waiting())
 		return ctx.Err()
 	}
 	// The grant came while we gave up.
--- a/relayer/run.go
+++ b/relayer/run.go
@@ -23,7 +23,8 @@
 const (
 	// leastWork is the time without which a send is not worth starting.
 	leastWork = 150 * time.Millisecond
-	// busyPause is when a request that found no room may be sent again.
+	// busyPause is the earliest time at which a request that found no room may be
+	// sent again.
 	busyPause = 400 * time.Millisecond
 	// mostSends bounds the servers that one request is offered to, those that
 	// did not run it included.
@@ -39,12 +40,16 @@
 	err   error
 	// mayHaveRun is false only if the server can't have run the request.
 	mayHaveRun bool
-	// unplaced says that no server was found in time.
+	// unplaced says that no server was found in time, and wait after which time
+	// there may be one.
 	unplaced bool
+	wait     time.Duration
 	// basis is what the choice of the server rested on, and waited the time until
 	// it was made.
 	basis  steerer.Basis
 	waited time.Duration
+	// late says that the send gave a token to slow.
+	late bool
 }
 
 // run is the sends of one request.
@@ -59,14 +64,18 @@
 	mu    sync.Mutex
 	tried []*steerer.Server
 
-	// flying counts the sends without a result.
-	flying int
+	// flying counts the sends without a result, and late those of them that take
+	// much longer than sends do. A send that ends may lower late before its token
+	// from slow raises it.
+	flying, late int
 	// ran counts the servers that may have run the request.
 	ran, sends int
 	// last is the latest server's own failure, to be passed on if nothing better
 	// comes.
 	last  *exchanger.Reply
 	cause error
+	// wait is after which time there may be room, if that is known.
+	wait time.Duration
 }
 
 func newRun(relayer *Relayer, req *request) *run {
@@ -101,6 +110,7 @@
 				return r.giveUp(s.unplaced)
 			}
 		case <-r.slow:
+			r.late++
 			r.hedge(ctx)
 		case <-ctx.Done():
 			return r.giveUp(false)
@@ -108,10 +118,10 @@
 	}
 }
 
-// hedge sends an idempotent request that waits for a slow server to a second
-// one as well. The first answer is taken.
+// hedge sends an idempotent request that waits for slow servers only to one more.
+// The first answer is taken.
 func (r *run) hedge(ctx context.Context) {
-	if !r.req.route.Idempotent || r.flying != 1 || r.ran+r.flying >= r.req.route.MaxAttempts {
+	if !r.req.route.Idempotent || r.flying == 0 || r.flying > r.late || r.ran+r.flying >= r.req.route.MaxAttempts {
 		return
 	}
 	if r.sends >= mostSends || r.suspected() || time.Until(r.req.deadline) < leastWork {
@@ -136,12 +146,18 @@
 
 // take handles the end of a send. It reports true with an answer to pass on.
 func (r *run) take(s *send) (bool, *exchanger.Reply) {
+	if s.late {
+		r.late--
+	}
 	if s.mayHaveRun {
 		r.ran++
 	}
 	if s.err != nil {
 		r.cause = s.err
 	}
+	if s.unplaced {
+		r.wait = s.wait
+	}
 	if s.outcome == steerer.OutcomeGood {
 		return true, s.reply
 	}
@@ -181,7 +197,7 @@
 	}
 	switch {
 	case r.ran == 0 && (r.flying == 0 || unplaced):
-		return nil, &answerer.Failure{Kind: answerer.KindOverloaded, RetryAfter: busyPause, Cause: r.cause}
+		return nil, &answerer.Failure{Kind: answerer.KindOverloaded, RetryAfter: max(r.wait, busyPause), Cause: r.cause}
 	case !time.Now().Before(r.req.deadline):
 		return nil, &answerer.Failure{Kind: answerer.KindDeadline, MayHaveRun: true, Cause: r.cause}
 	case r.cause == nil && r.flying > 0:
@@ -212,7 +228,7 @@
 	placing, cancel := context.WithDeadline(ctx, ticket.Until)
 	defer cancel()
 	if err := r.relayer.Allocator.Acquire(placing, r.req.service, ticket); err != nil {
-		return &send{unplaced: true, outcome: steerer.OutcomeNone, err: fmt.Errorf("no server had room: %w", err)}
+		return &send{unplaced: true, wait: ticket.Wait, outcome: steerer.OutcomeNone, err: fmt.Errorf("no server had room: %w", err)}
 	}
 	r.mu.Lock()
 	r.tried = append(r.tried, ticket.Server)
@@ -228,7 +244,7 @@
 	s.basis = ticket.Basis
 	s.waited = began.Sub(r.req.arrived)
 	timer.Stop()
-	hedging.Stop()
+	s.late = !hedging.Stop()
 	outcome := s.outcome
 	if outcome == steerer.OutcomeSilent && overdue.Load() {
 		outcome = steerer.OutcomeNone // It was held against the server already.
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -142,6 +142,10 @@
 	Granted chan struct{}
 	// Basis is what the choice of the server rested on.
 	Basis Basis
+	// Refused says that no server will come in time, and Wait after which time one
+	// may.
+	Refused bool
+	Wait    time.Duration
 
 	waiting bool
 }
@@ -181,6 +185,8 @@
 	order []*Server
 	// waiting is sorted by priority and arrival.
 	waiting []*Ticket
+	// pace tells how fast waiting tickets get servers.
+	pace pace
 	// mean is the smoothed time of good answers; 0 before the first.
 	mean time.Duration
 	// changes are those since the last call of Changes.
@@ -265,8 +271,8 @@
 // Waiting returns how many tickets wait.
 func (s *Service) Waiting() int { return len(s.waiting) }
 
-// Arrive grants a server to a ticket, or makes it wait. It reports whether it
-// was granted.
+// Arrive grants a server to a ticket, makes it wait, or refuses it at once when
+// none will come in time. It reports whether it was granted.
 func (s *Service) Arrive(now time.Time, ticket *Ticket) bool {
 	if !s.overtaken(ticket) {
 		if server := s.choose(now, ticket); server != nil {
@@ -274,13 +280,16 @@
 			return true
 		}
 	}
-	ticket.waiting = true
 	at, _ := slices.BinarySearchFunc(s.waiting, ticket, func(a, b *Ticket) int {
 		if before(a, b) {
 			return -1
 		}
 		return 1
 	})
+	if s.refuse(now, ticket, at) {
+		return false
+	}
+	ticket.waiting = true
 	s.waiting = slices.Insert(s.waiting, at, ticket)
 	return false
 }
@@ -384,6 +393,7 @@
 			continue
 		}
 		ticket.waiting = false
+		s.pace.granted(now)
 		s.grant(now, ticket, server)
 		granted = append(granted, ticket)
 	}
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -402,3 +402,41 @@
 		t.Errorf("%d of %d waiting requests go to the one server within a beat, want some and at most %d", granted, instances*waiting, queue)
 	}
 }
+
+// TestHopelessTicketsAreRefusedAtOnce is a request that every server had, and a
+// burst that the only server can't get through in the time that its requests have.
+func TestHopelessTicketsAreRefusedAtOnce(t *testing.T) {
+	s := newService(8)
+	s.SetBackends(before, backends(1))
+	server := send(s, start, &steerer.Ticket{})
+	had := &steerer.Ticket{Tried: []*steerer.Server{server}}
+	if send(s, start, had) != nil || !had.Refused || had.Wait <= 0 {
+		t.Errorf("a request that every server had: refused %v, to come back after %v", had.Refused, had.Wait)
+	}
+	// The server ends a request every 200 ms; each has 4 s, and 10 come in a second.
+	now, waiting, refused := start, 0, 0
+	s.Settle(now, server, steerer.OutcomeGood, 200*time.Millisecond)
+	for n := range 100 {
+		now = start.Add(time.Duration(n) * 100 * time.Millisecond)
+		if n%2 == 0 && n > 20 {
+			waiting -= len(s.Settle(now, server, steerer.OutcomeGood, 200*time.Millisecond))
+		}
+		ticket := &steerer.Ticket{}
+		if send(s, now, ticket) != nil {
+			continue
+		}
+		if !ticket.Refused {
+			waiting++
+			continue
+		}
+		refused++
+		if ticket.Wait < 3*time.Second || ticket.Wait > 9*time.Second {
+			t.Errorf("refused at %v with %d waiting: to come back after %v", now.Sub(start), waiting, ticket.Wait)
+		}
+	}
+	// What waits takes twice the time that requests have at the most: the pace is a
+	// guess, and a request is refused only when there is hardly a chance.
+	if most := int(2 * 4 * time.Second / (200 * time.Millisecond)); refused == 0 || waiting > most {
+		t.Errorf("%d refused and %d left waiting for 200 ms each, want some and at most %d", refused, waiting, most)
+	}
+}
