Look at idle servers sooner while many requests fail

Change: the steerer compares the failures at trusted servers, of all instances, with its own requests times the fleet; from 0.1 on idle servers under a belief of 0.8 are looked at after 1.3 s, with a fifth of the requests at most. Failures at servers that are looked at don't count, or looking would call for more of it. Test: TestManyFailuresReachIdleServers (before: a server without work for 2.18 s).

--- a/steerer/choice.go
+++ b/steerer/choice.go
@@ -38,6 +38,11 @@
 	// server is worth such a request.
 	exploreIdempotentBelow = 0.6
 	exploreOtherBelow      = 0.4
+	// exploreStrained and exploreStrainedBelow take their place while many requests
+	// of the service fail: then few servers must not be left to carry it all.
+	exploreStrained      = 1300 * time.Millisecond
+	exploreStrainedBelow = 0.8
+	exploreStrainedShare = 0.2
 	// firstTolerance is how likely a server may be to fail a request that has not
 	// waited yet, and firstToleranceIdempotent the same for one that can be
 	// repeated. Tolerance grows with the time that a request has waited, and is
@@ -87,6 +92,9 @@
 	if ticket.Idempotent {
 		after, below = exploreIdempotent, exploreIdempotentBelow
 	}
+	if s.strain.high(now, s.fleet.Size) {
+		after, below = min(after, s.strainedPause(now)), exploreStrainedBelow
+	}
 	var idle *Server
 	for _, server := range s.order {
 		if !server.usable(now) || now.Sub(server.offered) < after || server.load(now) > 0 || !s.looksAt(now, server) {
@@ -102,6 +110,14 @@
 	return idle
 }
 
+// strainedPause returns how long a server may be idle while many requests fail.
+// Looking at all of them takes exploreStrainedShare of the requests at most.
+func (s *Service) strainedPause(now time.Time) time.Duration {
+	requests := s.strain.requests.now(now, requestMemory) * float64(max(s.fleet.Size, 1))
+	pause := float64(len(s.order)) / max(exploreStrainedShare*requests, 1)
+	return max(time.Duration(pause*float64(time.Second)), exploreStrained)
+}
+
 // mayClaim reports whether it is this instance's turn to take a slot of a server
 // that many want. What peers told of its load is old by a beat, and without
 // turns all of them would take the same free slot at once.
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -185,6 +185,8 @@
 	order []*Server
 	// waiting is sorted by priority and arrival.
 	waiting []*Ticket
+	// strain tells whether many requests fail.
+	strain strain
 	// pace tells how fast waiting tickets get servers.
 	pace pace
 	// mean is the smoothed time of good answers; 0 before the first.
@@ -274,6 +276,9 @@
 // Arrive grants a server to a ticket, makes it wait, or refuses it at once when
 // none will come in time. It reports whether it was granted.
 func (s *Service) Arrive(now time.Time, ticket *Ticket) bool {
+	if len(ticket.Tried) == 0 {
+		s.strain.request(now, ticket.Idempotent)
+	}
 	if !s.overtaken(ticket) {
 		if server := s.choose(now, ticket); server != nil {
 			s.grant(now, ticket, server)
@@ -419,6 +424,9 @@
 
 // observe takes answers of a server into the belief and notes a change of mind.
 func (s *Service) observe(now time.Time, server *Server, from lagoonstile.InstanceID, good, bad uint64) {
+	if bad > 0 && server.belief.At(now, s.rules) < trustedBelow {
+		s.strain.failed(now, bad)
+	}
 	server.belief.observe(now, s.rules, good, bad)
 	faulty := server.belief.faulty
 	doubted := faulty >= doubtAt || (server.doubted && faulty > trustAt)
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -440,3 +440,34 @@
 		t.Errorf("%d refused and %d left waiting for 200 ms each, want some and at most %d", refused, waiting, most)
 	}
 }
+
+// TestManyFailuresReachIdleServers has a fifth of all orders fail, wherever they
+// go, while three of ten servers are doubted. The few that are trusted must not be
+// left to carry it all: every server gets an order at least each 2 s.
+func TestManyFailuresReachIdleServers(t *testing.T) {
+	s := newService(9)
+	s.SetBackends(before, backends(10))
+	settleGood(t, s, start, 10)
+	random := rand.New(rand.NewPCG(9, 9))
+	offered := make(map[lagoonstile.ServerID]time.Time)
+	for n := range 600 {
+		now := start.Add(time.Duration(n) * 20 * time.Millisecond)
+		server := send(s, now, &steerer.Ticket{})
+		if server == nil {
+			continue
+		}
+		id := server.Backend.ID
+		if last, ok := offered[id]; ok && now.Sub(last) > 2*time.Second && now.Sub(start) > 5*time.Second {
+			t.Errorf("%s got nothing for %v, until %v", id, now.Sub(last), now.Sub(start))
+		}
+		offered[id] = now
+		outcome := steerer.OutcomeGood
+		if random.Float64() < 0.2 || (id < "s03" && random.Float64() < 0.7) {
+			outcome = steerer.OutcomeBad
+		}
+		s.Settle(now.Add(time.Millisecond), server, outcome, time.Millisecond)
+	}
+	if len(offered) < 10 {
+		t.Errorf("%d of 10 servers got an order", len(offered))
+	}
+}
