--- a/runner/node.go
+++ b/runner/node.go
@@ -69,6 +69,7 @@
 	others    []*listener.Listener
 
 	leaving atomic.Bool
+	share   atomic.Pointer[retrier.Share]
 	known   atomic.Pointer[messenger.Known]
 
 	mu sync.Mutex
@@ -99,6 +100,7 @@
 		peers:       make(map[lagoonstile.InstanceID]*nodePeer),
 	}
 	n.known.Store(&messenger.Known{})
+	n.SetShare(settings.Share)
 	n.suspects = &nodeSuspects{node: n, keeper: quarantiner.Keeper{Proof: crashesAreProof}}
 	n.allocator = allocator.New(settings.Rules, settings.FailureDomain, n.tellUrgent)
 	n.allocator.Changed = n.noteChange
@@ -106,7 +108,7 @@
 		Headers:   settings.Headers,
 		Table:     n.table.Load,
 		Allocator: n.allocator,
-		Share:     func() retrier.Share { return settings.Share },
+		Share:     func() retrier.Share { return *n.share.Load() },
 		Instances: n.fleetSize,
 		Suspects:  n.suspects,
 		Recorder:  n.recorder,
@@ -207,6 +209,9 @@
 // SetBackends takes all servers that are registered.
 func (n *Node) SetBackends(backends []lagoonstile.Backend) { n.allocator.SetBackends(backends) }
 
+// SetShare replaces this instance's part of the retry budgets.
+func (n *Node) SetShare(share retrier.Share) { n.share.Store(&share) }
+
 // SetKnown says up to which offsets this node knows what the fleet follows.
 func (n *Node) SetKnown(known messenger.Known) { n.known.Store(&known) }
 
