Let requests wait for servers that a fresh instance has not heard of yet

Change: only a service that had servers refuses. Test: TestStartWaitsForServers (fails before: refused).

--- a/steerer/pace.go
+++ b/steerer/pace.go
@@ -39,7 +39,7 @@
 	return now.Sub(p.grants[0]) / paceGrants, true
 }
 
-// Outlook returns how long a ticket is likely to wait that so many go before.
+// Outlook returns how long a ticket is likely to wait with so many ahead of it.
 func (s *Service) Outlook(now time.Time, ahead int) time.Duration {
 	gap, known := s.pace.gap(now)
 	if !known {
@@ -48,10 +48,11 @@
 	return max(time.Duration(ahead+1)*gap, leastWait)
 }
 
-// refuse reports whether no server will come in time for a ticket that so many
-// go before: because all had it, or because it would wait for too long.
+// refuse reports whether no server will come in time for a ticket with so many
+// ahead of it: because all had it, or because it would wait for too long. An
+// instance that has just started may hear of the servers any moment.
 func (s *Service) refuse(now time.Time, ticket *Ticket, ahead int) bool {
-	if !s.hasServerFor(ticket) {
+	if s.hadServers && !s.hasServerFor(ticket) {
 		ticket.Refused, ticket.Wait = true, noServerWait
 		return true
 	}
--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -179,6 +179,8 @@
 	near    lagoonstile.FailureDomain
 	random  *rand.Rand
 	servers map[lagoonstile.ServerID]*Server
+	// hadServers says that there ever were some.
+	hadServers bool
 	byKey   map[gossiper.Key]*Server
 	// order lists the servers by id, for loops that must give the same result
 	// every time.
@@ -256,6 +258,7 @@
 		return compare(a.Backend.ID, b.Backend.ID)
 	})
 	s.servers = kept
+	s.hadServers = s.hadServers || len(kept) > 0
 	return s.fill(now)
 }
 
--- a/steerer/steerer_test.go
+++ b/steerer/steerer_test.go
@@ -471,3 +471,21 @@
 		t.Errorf("%d of 10 servers got an order", len(offered))
 	}
 }
+
+// TestStartWaitsForServers sends a request before the servers are known, and one
+// after the last of them has left.
+func TestStartWaitsForServers(t *testing.T) {
+	s := newService(10)
+	early := &steerer.Ticket{}
+	if send(s, start, early) != nil || early.Refused {
+		t.Fatal("a request is refused before the servers are known")
+	}
+	if granted := s.SetBackends(start.Add(20*time.Millisecond), backends(2)); len(granted) != 1 {
+		t.Errorf("%d requests go when the servers are known, want 1", len(granted))
+	}
+	s.SetBackends(start.Add(time.Second), nil)
+	late := &steerer.Ticket{}
+	if send(s, start.Add(time.Second), late) != nil || !late.Refused {
+		t.Error("a request waits for a service whose servers have all left")
+	}
+}
