--- a/steerer/steerer.go
+++ b/steerer/steerer.go
@@ -181,7 +181,7 @@
 	servers map[lagoonstile.ServerID]*Server
 	// hadServers says that there ever were some.
 	hadServers bool
-	byKey   map[gossiper.Key]*Server
+	byKey      map[gossiper.Key]*Server
 	// order lists the servers by id, for loops that must give the same result
 	// every time.
 	order []*Server
