--- a/review/stand/popular.go
+++ b/review/stand/popular.go
@@ -42,7 +42,7 @@
 	w.configure(defaultRoutes)
 	work := func(rw http.ResponseWriter, req *http.Request, _ []byte) {
 		select {
-		case <-time.After(popularWork):
+		case <-time.After(popularWork*4/5 + rand.N(popularWork*2/5)):
 			_, _ = rw.Write([]byte("prices and stock"))
 		case <-req.Context().Done():
 		}
@@ -68,6 +68,7 @@
 	var clients sync.WaitGroup
 	stop := make(chan struct{})
 	client := func(kind string, path func() string) {
+		time.Sleep(rand.N(popularWork)) // Clients do not keep step with each other.
 		for count := 0; ; count++ {
 			select {
 			case <-stop:
