--- a/review/stand/names.go
+++ b/review/stand/names.go
@@ -18,6 +18,7 @@
 	PathNewest       string `json:"path_newest"`
 	PathReady        string `json:"path_ready"`
 	PathResolve      string `json:"path_resolve"`
+	RoutePrefix      string `json:"route_prefix"`
 	RequestID        string `json:"request_id"`
 	Deadline         string `json:"deadline"`
 	Target           string `json:"target"`
--- a/review/stand/uploads.go
+++ b/review/stand/uploads.go
@@ -139,9 +139,8 @@
 	if answered < 10 {
 		return false, fmt.Errorf("only %d orders were answered", answered)
 	}
-	broken := machines >= 2
-	w.note("Fault broken: %t, LOST broken: %t", broken, lost > 3)
-	return broken, nil
+	w.note("LOST broken: %t, Fault broken: %t", lost > 3, machines >= 2)
+	return lost > 3, nil
 }
 
 // orderOnKeptConnections makes one order after the other on a kept connection. It returns how many of them
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -110,7 +110,7 @@
 	for _, r := range routes {
 		services[r.service] = true
 		policies = append(policies, map[string]any{
-			"name": r.name, "kind": r.kind, "slo_s": 2, "priority": 1, "match": map[string]any{"path_prefix": r.prefix},
+			"name": r.name, "kind": r.kind, "slo_s": 2, "priority": 1, "match": map[string]any{names.RoutePrefix: r.prefix},
 			"action": map[string]any{"service": r.service, "timeout_s": r.timeoutS, "max_attempts": 2},
 		})
 	}
