Quarantine a request by a row of crashes, not by coincidence

Cause: the quarantine took presence at a crash for proof. A popular request is in flight at every server, so it is present whenever some of them fail; three reports were enough, summed over all instances, and no good end could weigh against them: a run that was completed cleared suspects, but never ended a quarantine.

Change: the order of runs tells the two apart. Each run of a harmful request ends with a crash, also those that begin after an earlier crash is known; a harmless one is completed sooner or later. A crash lengthens the row only if its run began when the row before it was known (within one request, the attempts before a retry count although their crash is still being confirmed). A completed run anywhere ends the row and the quarantine, on all instances: evidence is ordered and merged as a logical clock. Counts on the wire keep their fields; one is added.

--- a/cmd/standin/emulator/backend.go
+++ b/cmd/standin/emulator/backend.go
@@ -66,7 +66,10 @@
 	// leaving is set if responses say that the server leaves.
 	leaving bool
 	// retryAfter is the Retry-After of responses in mode BackendSheds, if it is not 0.
-	retryAfter   time.Duration
+	retryAfter time.Duration
+	// crashOn is the path of requests that crash the server, or empty.
+	crashOn      string
+	crashed      bool
 	received     int
 	sheds        int
 	lastReceived time.Time
@@ -186,6 +189,32 @@
 	b.retryAfter = retryAfter
 }
 
+// CrashOn makes the server end, without an answer, when it begins to run a request
+// with the given path.
+func (b *Backend) CrashOn(path string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.crashOn = path
+}
+
+// Crashed reports whether a request has crashed the server.
+func (b *Backend) Crashed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.crashed
+}
+
+// crashesOn reports whether a request crashes the server.
+func (b *Backend) crashesOn(path string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.crashOn == "" || path != b.crashOn {
+		return false
+	}
+	b.crashed = true
+	return true
+}
+
 func (b *Backend) saysLeaving() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -225,6 +254,10 @@
 		return
 	}
 	b.runs.add(id)
+	if b.crashesOn(req.URL.Path) {
+		b.Stop()
+		return
+	}
 	if mode == BackendErrors {
 		w.Header().Set("X-Server-Signature", "sig")
 		w.WriteHeader(http.StatusInternalServerError)
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -18,6 +18,7 @@
 	"lagoonstile/counter"
 	"lagoonstile/exchanger"
 	"lagoonstile/picker"
+	"lagoonstile/quarantiner"
 )
 
 // attempt is the result of sending a request to one server.
@@ -36,6 +37,8 @@
 	budgetExempt bool
 	// crashed is set if an open connection failed before a response was received.
 	crashed bool
+	// known is the evidence on the request that was known when the attempt began.
+	known quarantiner.Evidence
 }
 
 // failed reports whether the attempt got no answer or a 5xx answer. Another server
--- a/forwarder/execution.go
+++ b/forwarder/execution.go
@@ -72,6 +72,14 @@
 	}
 }
 
+// evidence returns what is known of the request now.
+func (exec *execution) evidence() quarantiner.Evidence {
+	if exec.forwarder.Suspects == nil {
+		return quarantiner.Evidence{}
+	}
+	return exec.forwarder.Suspects.Evidence(exec.fingerprint)
+}
+
 // run makes attempts until one succeeds or no further one is allowed. After a
 // success, the answers of attempts still in flight are discarded.
 func (exec *execution) run(ctx context.Context) (*Answer, *answerer.Failure) {
@@ -134,7 +142,7 @@
 	switch {
 	case exec.forwarder.Suspects == nil:
 	case a.crashed:
-		exec.forwarder.Suspects.RecordCrash(exec.fingerprint)
+		exec.forwarder.Suspects.RecordCrash(exec.fingerprint, a.known)
 		exec.updateAdmission()
 	case exec.admission == quarantiner.Isolated && a.answer != nil:
 		exec.forwarder.Suspects.Clear(exec.fingerprint)
@@ -190,7 +198,12 @@
 func (exec *execution) start(target *picker.Target, send func() *attempt) {
 	exec.tried = append(exec.tried, target)
 	exec.inFlight++
-	go func() { exec.results <- send() }()
+	go func() {
+		known := exec.evidence()
+		a := send()
+		a.known = known
+		exec.results <- a
+	}()
 }
 
 // startIsolated starts an attempt on a server that runs no other request of this
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -67,8 +67,12 @@
 type Suspects interface {
 	// Admit reports how a request may run.
 	Admit(fingerprint quarantiner.Fingerprint) quarantiner.Admission
-	// RecordCrash records that a server crashed while it had the request.
-	RecordCrash(fingerprint quarantiner.Fingerprint)
+	// Evidence returns what is known of the request. It is asked for when an attempt
+	// begins.
+	Evidence(fingerprint quarantiner.Fingerprint) quarantiner.Evidence
+	// RecordCrash records that a server crashed while it had the request, in an
+	// attempt that began when the evidence known was known.
+	RecordCrash(fingerprint quarantiner.Fingerprint, known quarantiner.Evidence)
 	// Clear records that a server answered the request while it ran isolated.
 	Clear(fingerprint quarantiner.Fingerprint)
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -138,10 +138,16 @@
 	return s.tracker.Admit(time.Now(), fingerprint)
 }
 
-func (s *suspects) RecordCrash(fingerprint quarantiner.Fingerprint) {
+func (s *suspects) Evidence(fingerprint quarantiner.Fingerprint) quarantiner.Evidence {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.tracker.RecordCrash(time.Now(), fingerprint)
+	return s.tracker.Evidence(time.Now(), fingerprint)
+}
+
+func (s *suspects) RecordCrash(fingerprint quarantiner.Fingerprint, known quarantiner.Evidence) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.RecordCrash(time.Now(), fingerprint, known)
 }
 
 func (s *suspects) Clear(fingerprint quarantiner.Fingerprint) {
--- a/gossiper/gossiper.go
+++ b/gossiper/gossiper.go
@@ -75,8 +75,8 @@
 	FailureDomain lagoonstile.FailureDomain `cbor:"9,keyasint,omitempty"`
 	// Quarantined lists the fingerprints of requests that must not run.
 	Quarantined []uint64 `cbor:"10,keyasint,omitempty"`
-	// Crashes lists the requests during which the origin recently saw servers
-	// crash.
+	// Crashes lists the requests that the origin has learned something of lately,
+	// because a server crashed during them or they were completed after that.
 	Crashes []Crash  `cbor:"11,keyasint,omitempty"`
 	Reports []Report `cbor:"12,keyasint,omitempty"`
 	// Full marks a digest whose Reports cover every server that has anything to
@@ -87,11 +87,13 @@
 	Degraded []Key `cbor:"13,keyasint,omitempty"`
 }
 
-// Crash counts the servers that crashed while a request was in flight at them.
-// Fingerprint identifies the request.
+// Crash is what is known of a suspected request (quarantiner.Evidence). Fingerprint
+// identifies the request.
 type Crash struct {
 	Fingerprint uint64 `cbor:"1,keyasint"`
-	Count       uint32 `cbor:"2,keyasint"`
+	// Count is the length of the row of crashes.
+	Count      uint32 `cbor:"2,keyasint"`
+	Clearances uint32 `cbor:"3,keyasint,omitempty"`
 }
 
 // Timing of the exchange.
--- a/messenger/messenger.go
+++ b/messenger/messenger.go
@@ -54,8 +54,8 @@
 	Version     lagoonstile.Version     `cbor:"2,keyasint,omitempty"`
 	Leaving     bool                    `cbor:"3,keyasint,omitempty"`
 	Reports     []steerer.Report        `cbor:"4,keyasint,omitempty"`
-	// Crashes holds, for the fingerprint of each suspected request, the number of
-	// servers that the sender saw crash while they had the request.
+	// Crashes holds, for the fingerprint of each suspected request, the length of its
+	// row of crashes (quarantiner.Evidence).
 	Crashes map[uint64]int `cbor:"5,keyasint,omitempty"`
 	Offsets Offsets        `cbor:"6,keyasint"`
 	// Roster tells what the sender knows of members of the receiver's failure domain.
@@ -63,6 +63,9 @@
 	// Read holds the offsets up to which the sender has read the topics. Offsets has
 	// those of the last changes, so nothing changed in between.
 	Read Offsets `cbor:"8,keyasint"`
+	// Clearances holds, for the fingerprint of each request that had a row of crashes
+	// and was completed, how often that was so (quarantiner.Evidence).
+	Clearances map[uint64]int `cbor:"9,keyasint,omitempty"`
 }
 
 // Run identifies one incarnation of an instance in a roster.
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -55,6 +54,9 @@
 	// queueTime is the time from the request's arrival until a server was acquired
 	// for this attempt.
 	queueTime time.Duration
+	// suspicion tells what the attempt says of the request if its server crashes. It
+	// is nil if suspects are not tracked.
+	suspicion *suspicion
 	// hedgeFired is set if the hedge delay passed before the attempt ended. The
 	// attempt then sends a token to requestRelay.hedgeDue.
 	hedgeFired bool
@@ -83,6 +85,8 @@
 	// possibleRuns counts the finished attempts whose server may have run the
 	// request, attempts all attempts.
 	possibleRuns, attempts int
+	// suspicions holds those of the finished attempts that ended without a response.
+	suspicions []*suspicion
 	// responder is the server whose response is returned, if an attempt succeeded.
 	responder *steerer.Server
 	// failedResponse is the latest 5xx response of a server. It is returned if no
@@ -176,6 +180,9 @@
 	if a.err != nil {
 		relay.cause = a.err
 	}
+	if a.suspicion != nil && a.suspicion.checked != nil {
+		relay.suspicions = append(relay.suspicions, a.suspicion)
+	}
 	if a.noServer {
 		relay.retryAfter = a.retryAfter
 	}
@@ -249,12 +256,14 @@
 		OnTimeUntil: relay.req.arrived.Add(relay.req.route.Objective),
 	}
 	relay.mu.Unlock()
-	go func() { relay.results <- relay.acquireAndSend(ctx, ticket, repeat) }()
+	earlier := slices.Clone(relay.suspicions)
+	go func() { relay.results <- relay.acquireAndSend(ctx, ticket, earlier, repeat) }()
 }
 
 // acquireAndSend waits for a server, sends the request to it and reports the
-// outcome to the allocator.
-func (relay *requestRelay) acquireAndSend(ctx context.Context, ticket *steerer.Ticket, repeat bool) *attempt {
+// outcome to the allocator. The parameter earlier holds the suspicions of the
+// attempts that ended before this one begins.
+func (relay *requestRelay) acquireAndSend(ctx context.Context, ticket *steerer.Ticket, earlier []*suspicion, repeat bool) *attempt {
 	acquireCtx, cancel := context.WithDeadline(ctx, ticket.Deadline)
 	defer cancel()
 	if err := relay.relayer.Allocator.Acquire(acquireCtx, relay.req.service, ticket); err != nil {
@@ -270,7 +279,7 @@
 		relay.relayer.Allocator.ObserveFailure(relay.req.service, ticket.Server)
 	})
 	hedgeTimer := time.AfterFunc(relay.relayer.Allocator.HedgeDelay(relay.req.service, relay.req.route.Objective), func() { relay.hedgeDue <- struct{}{} })
-	a := relay.relayer.sendTo(ctx, relay.req, ticket.Server)
+	a := relay.relayer.sendTo(ctx, relay.req, ticket.Server, relay.relayer.suspicionOf(relay.req, earlier))
 	a.basis = ticket.Basis
 	a.queueTime = started.Sub(relay.req.arrived)
 	overdueTimer.Stop()
@@ -301,8 +310,8 @@
 }
 
 // sendTo sends the request to one server and classifies the result.
-func (r *Relayer) sendTo(ctx context.Context, req *request, server *steerer.Server) *attempt {
-	a := &attempt{server: server}
+func (r *Relayer) sendTo(ctx context.Context, req *request, server *steerer.Server, about *suspicion) *attempt {
+	a := &attempt{server: server, suspicion: about}
 	header := req.header.Clone()
 	header.Set(r.Headers.RequestID, req.id)
 	header.Set(r.Headers.Target, string(server.Backend.ID))
@@ -335,32 +344,13 @@
 		a.outcome = steerer.OutcomeTimeout
 	default:
 		a.outcome = steerer.OutcomeBad
-		if r.Suspects != nil {
-			go r.confirmCrash(req, a.server)
+		if a.suspicion != nil {
+			a.suspicion.checked = make(chan struct{})
+			go r.confirmCrash(req, a.server, a.suspicion)
 		}
 	}
 }
 
-// Timing of the connection attempt that checks whether a server crashed.
-const (
-	crashProbeDelay   = 20 * time.Millisecond
-	crashProbeTimeout = 300 * time.Millisecond
-)
-
-// confirmCrash records a crash against the request if a new connection to the
-// server fails. A server that still accepts connections has only closed the
-// previous one and has not crashed.
-func (r *Relayer) confirmCrash(req *request, server *steerer.Server) {
-	time.Sleep(crashProbeDelay)
-	conn, err := net.DialTimeout("tcp", server.Backend.Address, crashProbeTimeout)
-	if err == nil {
-		_ = conn.Close()
-		return
-	}
-	r.Log.Info("server-crashed", logger.RequestKey, req.id, "service", req.service, "server", server.Backend.ID, "print", req.fingerprint)
-	r.Suspects.RecordCrash(req.fingerprint)
-}
-
 // classifyResponse sets the outcome of an exchange with a complete response.
 func (r *Relayer) classifyResponse(req *request, a *attempt) {
 	response := a.response
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -59,8 +59,13 @@
 	// Admit reports how a request may run. The relayer rejects a request only if
 	// the result is quarantiner.Denied.
 	Admit(fingerprint quarantiner.Fingerprint) quarantiner.Admission
-	// RecordCrash records that a server crashed while it had the request.
-	RecordCrash(fingerprint quarantiner.Fingerprint)
+	// Evidence returns what is known of the request. It is asked for when an attempt
+	// begins.
+	Evidence(fingerprint quarantiner.Fingerprint) quarantiner.Evidence
+	// RecordCrash records that a server crashed while it had the request, in an
+	// attempt that began when the evidence known was known. It returns the evidence
+	// that this crash gives.
+	RecordCrash(fingerprint quarantiner.Fingerprint, known quarantiner.Evidence) quarantiner.Evidence
 	// Clear records that a server completed the request.
 	Clear(fingerprint quarantiner.Fingerprint)
 }
--- a/runner/instancesuspects.go
+++ b/runner/instancesuspects.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sync"
@@ -31,11 +32,18 @@
 	return s.tracker.Admit(time.Now(), fingerprint)
 }
 
+// Evidence returns what is known of the request.
+func (s *instanceSuspects) Evidence(fingerprint quarantiner.Fingerprint) quarantiner.Evidence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.Evidence(time.Now(), fingerprint)
+}
+
 // RecordCrash records that a server crashed while the request was in flight to it.
 // If this quarantines the request, it adds an event to the audit trail.
-func (s *instanceSuspects) RecordCrash(fingerprint quarantiner.Fingerprint) {
+func (s *instanceSuspects) RecordCrash(fingerprint quarantiner.Fingerprint, known quarantiner.Evidence) {
 	s.mu.Lock()
-	quarantined := s.tracker.RecordCrash(time.Now(), fingerprint)
+	_, quarantined := s.tracker.RecordCrash(time.Now(), fingerprint, known)
 	s.mu.Unlock()
 	if quarantined {
 		s.audit(fingerprint, "after crashes seen here")
@@ -59,7 +67,8 @@
 	}
 	for _, crash := range digest.Crashes {
 		fingerprint := quarantiner.Fingerprint(crash.Fingerprint)
-		if s.tracker.RecordPeerCrashes(now, digest.Origin, fingerprint, int(crash.Count)) {
+		evidence := quarantiner.Evidence{Clearances: int(crash.Clearances), Crashes: int(crash.Count)}
+		if s.tracker.Merge(now, fingerprint, evidence) {
 			quarantined = append(quarantined, fingerprint)
 		}
 	}
@@ -69,21 +78,18 @@
 	}
 }
 
-// report returns the quarantined requests and this instance's crash counts, for
+// report returns the quarantined requests and the evidence of this instance's runs, for
 // the digest. Both are sorted by fingerprint.
 func (s *instanceSuspects) report(now time.Time) ([]uint64, []gossiper.Crash) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var crashes []gossiper.Crash
-	for fingerprint, count := range s.tracker.Suspects(now) {
-		crashes = append(crashes, gossiper.Crash{Fingerprint: uint64(fingerprint), Count: uint32(count)})
+	for fingerprint, evidence := range s.tracker.Suspects(now) {
+		crashes = append(crashes, gossiper.Crash{
+			Fingerprint: uint64(fingerprint), Count: uint32(evidence.Crashes), Clearances: uint32(evidence.Clearances),
+		})
 	}
-	slices.SortFunc(crashes, func(a, b gossiper.Crash) int {
-		if a.Fingerprint < b.Fingerprint {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(crashes, func(a, b gossiper.Crash) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return fingerprintValues(s.tracker.Quarantined(now)), crashes
 }
 
--- a/runner/node.go
+++ b/runner/node.go
@@ -61,8 +61,8 @@
 	// longer than peerTimeout because the retries that a silent peer made within
 	// this time still count.
 	fleetSizeTimeout = 10 * time.Second
-	// nodeCrashThreshold is the number of server crashes after which a request is
-	// quarantined.
+	// nodeCrashThreshold is the length of the row of server crashes after which a
+	// request is quarantined.
 	nodeCrashThreshold = 3
 )
 
@@ -283,14 +283,15 @@
 // LocalDigest returns the node's digest without reports.
 func (n *Node) LocalDigest() messenger.Digest {
 	offsets := n.offsets.Load()
-	return messenger.Digest{
+	digest := messenger.Digest{
 		Incarnation: n.incarnation,
 		Version:     n.Version(),
 		Leaving:     n.leaving.Load(),
-		Crashes:     n.suspects.crashCounts(),
 		Offsets:     offsets.changed,
 		Read:        offsets.read,
 	}
+	n.suspects.addTo(&digest)
+	return digest
 }
 
 // Reports returns the reports on servers that changed after the given time.
