Test that one crash quarantines no request of the own interface

All copies of a request that were in flight at one crashed server counted, and two were enough: 422 for an hour.

The tracker's row of crashes mends this path, too: copies that began before the first crash was known add nothing, and the second crash is that of an isolated run, as the package says.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -548,3 +548,35 @@
 		t.Errorf("request without the poison header: %v, %q, %v", res, body, err)
 	}
 }
+
+// TestPopularRequestIsNotQuarantinedByOneCrash guards against a harmless request that is
+// refused for an hour because several copies of it were in flight when one server
+// crashed.
+func TestPopularRequestIsNotQuarantinedByOneCrash(t *testing.T) {
+	const copies = 6
+	servers := []http.HandlerFunc{func(w http.ResponseWriter, req *http.Request) {
+		time.Sleep(20 * time.Millisecond) // Until the other copies are in flight, too.
+		crashes(w, req)
+	}}
+	for range 2 * copies {
+		servers = append(servers, succeeds)
+	}
+	fix := newFixture(t, true, servers...)
+	var callers sync.WaitGroup
+	for range copies {
+		callers.Go(func() {
+			res, _, err := fix.send(t, http.MethodGet, nil)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			if kind := res.Header.Get(answerer.HeaderKind); kind == string(answerer.KindQuarantined) {
+				t.Errorf("kind %q for a request in flight at the crash", kind)
+			}
+		})
+	}
+	callers.Wait()
+	if res, body, err := fix.send(t, http.MethodGet, nil); err != nil || string(body) != "ok" {
+		t.Errorf("the same request after the crash: %v, %q, %v, want it to be served", res, body, err)
+	}
+}
