--- a/cmd/standin/rehearser/rehearser_test.go
+++ b/cmd/standin/rehearser/rehearser_test.go
@@ -1,7 +1,9 @@
 package rehearser_test
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -93,6 +95,68 @@
 	}
 }
 
+// TestOddServerEntriesStopNobody guards against instances that end, or no longer follow
+// the list of servers, because another writer has left an odd entry in it. It checks
+// instances that read the store, one that the store rejects, and one that starts
+// later.
+func TestOddServerEntriesStopNobody(t *testing.T) {
+	t.Parallel()
+	nested := func(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
+	entry := func(fields string) string {
+		return `{"service":"orders","address":"127.0.0.1:1","zone":"zone-0","capacity":6,"state":"ready",` + fields + `}`
+	}
+	tests := []struct{ name, key, value string }{
+		{"nested", "odd", nested(100_000)},
+		{"nested in a field that is not known", "odd", entry(`"more":` + nested(9_000))},
+		{"nested too deeply in a field that is not known", "odd", entry(`"more":` + nested(100_000))},
+		{"nested in place of the service", "odd", `{"service":` + nested(9_000) + `}`},
+		{"not closed", "odd", strings.Repeat(`{"a":`, 50_000)},
+		{"capacity of 401 digits", "odd", entry(`"capacity":1` + strings.Repeat("0", 400))},
+		{"capacity 1e400", "odd", entry(`"capacity":1e400`)},
+		{"largest capacity", "odd", entry(`"capacity":9223372036854775807`)},
+		{"born 1e30", "odd", entry(`"born":1e30`)},
+		{"seq 1e400", "odd", entry(`"seq":1e400`)},
+		{"warm-up of 1e300 s", "odd", entry(`"warmup_left_s":1e300`)},
+		{"warm-up of -1e300 s", "odd", entry(`"warmup_left_s":-1e300`)},
+		{"port 65536", "odd", entry(`"address":"127.0.0.1:65536"`)},
+		{"port of 30 digits", "odd", entry(`"address":"127.0.0.1:999999999999999999999999999999"`)},
+		{"negative port", "odd", entry(`"address":"127.0.0.1:-1"`)},
+		{"key that is not UTF-8", "odd-\xff\xfe", "\x00\xff"},
+		{"key that is not UTF-8, proper entry", "odd-\xff\xfe", entry(`"born":1`)},
+		{"key with a line end", "odd\r\nX-Other: 1", entry(`"born":1`)},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			tb := newTestbed(t, 4)
+			tb.store.SetFaults(emulator.StoreFaults{RejectMode: "busy", RejectedClients: []string{tb.instances[2].settings.IP}})
+			tb.store.Put("keyed.servers", test.key, []byte(test.value))
+			time.Sleep(300 * time.Millisecond)
+			tb.stop(3)
+			tb.start(3)
+			tb.startBackend("orders-later", "orders")
+			for n := range 3 {
+				tb.backends[fmt.Sprintf("orders-%d", n)].Unregister()
+			}
+			time.Sleep(drainBound)
+			for n := range tb.instances {
+				before, _ := tb.backends["orders-later"].Received()
+				for range 10 {
+					if a := tb.send(n, http.MethodPost, "/order/7"); a.status != http.StatusOK {
+						t.Errorf("instance %d: status %d %s", n, a.status, a.body)
+					}
+				}
+				if after, _ := tb.backends["orders-later"].Received(); after < before+10 {
+					t.Errorf("instance %d: the server that came later received %d of 10 orders, want all", n, after-before)
+				}
+			}
+		})
+	}
+}
+
+// drainBound is the longest time for which servers that have left may get requests.
+const drainBound = 2 * time.Second
+
 // TestStoreUnavailableAtStart starts instances that cannot read the store. They
 // must answer 503 with Retry-After and not be ready, and must serve once the store
 // is back.
