Report each quarantine of a request, not only the first

What operators saw: nothing. A request whose quarantine had run out and that crashed another server was refused again, for longer, without a log line or an event in the audit trail.

Cause: the tracker reported a quarantine only if the row of crashes had been below the threshold before; since the quarantine grows in steps the row stays above it.

Change: it reports one whenever a request that could run cannot any more. Which requests run is as before. TestQuarantineGrowsWithEachCrash asks for it; it failed for the second to fifth quarantine before, and passes.

--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -134,15 +134,15 @@
 
 // RecordCrash records that a server crashed during a run of the request. The parameter
 // known is the evidence that was known when that run began. RecordCrash returns the
-// evidence that the crash alone gives, and reports whether the request was
-// quarantined as a result.
+// evidence that the crash alone gives, and reports whether a quarantine of the request
+// began as a result.
 func (t *Tracker) RecordCrash(now time.Time, fingerprint Fingerprint, known Evidence) (Evidence, bool) {
 	crash := Evidence{Clearances: known.Clearances, Crashes: known.Crashes + 1}
 	return crash, t.raise(now, fingerprint, crash, true)
 }
 
-// Merge records the evidence of a peer. It reports whether the request was
-// quarantined as a result.
+// Merge records the evidence of a peer. It reports whether a quarantine of the request
+// began as a result.
 func (t *Tracker) Merge(now time.Time, fingerprint Fingerprint, evidence Evidence) bool {
 	return t.raise(now, fingerprint, evidence, false)
 }
@@ -222,12 +222,12 @@
 }
 
 // raise sets the evidence of a request if it is higher than what is known. It reports
-// whether the request was quarantined as a result.
+// whether a quarantine of the request began as a result.
 func (t *Tracker) raise(now time.Time, fingerprint Fingerprint, evidence Evidence, own bool) bool {
-	before := t.Evidence(now, fingerprint)
-	if evidence.Compare(before) <= 0 {
+	if evidence.Compare(t.Evidence(now, fingerprint)) <= 0 {
 		return false
 	}
+	deniedBefore := t.Admit(now, fingerprint) == Denied
 	t.expire(now)
 	delete(t.suspects, fingerprint)
 	delete(t.quarantined, fingerprint)
@@ -237,7 +237,7 @@
 		return false
 	}
 	t.quarantined = insert(t.quarantined, fingerprint, s)
-	return !t.isQuarantined(before)
+	return !deniedBefore
 }
 
 // insert adds a record. If there is no room, it drops the one that changed first.
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -199,7 +199,9 @@
 		tracker.RecordCrash(now, 1, tracker.Evidence(now, 1))
 	}
 	for _, minutes := range []time.Duration{1, 4, 16, 60, 60} {
-		tracker.RecordCrash(now, 1, tracker.Evidence(now, 1))
+		if _, began := tracker.RecordCrash(now, 1, tracker.Evidence(now, 1)); !began {
+			t.Errorf("the quarantine of %d minutes is not reported", minutes)
+		}
 		now = now.Add(minutes*time.Minute - time.Second)
 		if got := tracker.Admit(now, 1); got != quarantiner.Denied {
 			t.Errorf("admission %s a second before %d minutes have passed, want %s", got, minutes, quarantiner.Denied)
