Test odd servers in the log of the own interface

Cause: of the report on odd entries only the users' platform had a test; the readers of the product's own list were looked at by reading.

Change: TestOddServersInAChange gives a reader of the log nine odd lists (nested, numbers too large or negative, ports out of range, an id that is not text). Each must change nothing, and the change behind it must take effect.

--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -1,10 +1,13 @@
 package configurer_test
 
 import (
+	"bytes"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
@@ -224,3 +227,52 @@
 		}
 	}
 }
+
+// TestOddServersInAChange guards against a reader of the log that ends, or no longer
+// follows it, because another writer has left an odd list of servers there. Each such
+// record must change nothing, and the change behind it must take effect.
+func TestOddServersInAChange(t *testing.T) {
+	server := func(field string, value any) any {
+		server := map[string]any{"id": "a", "address": "127.0.0.1:1", "failure-domain": "d", "slots": 6}
+		server[field] = value
+		return server
+	}
+	nested := func(depth int) []byte { return append(bytes.Repeat([]byte{0x81}, depth), 0) } // Arrays of one item.
+	tests := []struct {
+		name   string
+		server any
+	}{
+		{"nested", cbor.RawMessage(nested(60_000))},
+		{"nested in a field that is not known", server("more", cbor.RawMessage(nested(60_000)))},
+		{"nested in place of the address", server("address", cbor.RawMessage(nested(10)))},
+		{"slots over the largest integer", server("slots", uint64(math.MaxUint64))},
+		{"slots 1e300", server("slots", 1e300)},
+		{"negative slots", server("slots", math.MinInt64)},
+		{"port 65536", server("address", "127.0.0.1:65536")},
+		{"negative port", server("address", "127.0.0.1:-1")},
+		{"id that is not UTF-8", server("id", cbor.RawMessage("\x61\xff"))},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			service := map[string]any{
+				"id": "stock", "rank": "lookups", "floor": 0.5, "false-ejections-per-week": 1, "deadline": time.Second,
+				"connections-per-server": 1, "servers": []any{test.server},
+			}
+			odd, err := cbor.Marshal(map[string]any{"change": map[string]any{"id": "a", "base": 0, "author": "anna", "set": []any{service}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			sound, err := encoder.Encode(lagoonstile.Record{Change: &lagoonstile.Change{ID: "b", Author: "anna", Set: []*lagoonstile.Service{newService("stock", 0.5)}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			var replica configurer.Replica
+			if out := replica.Apply(lagoonstile.Entry{Offset: 0, Data: odd}); out.Verdict != configurer.VerdictInvalid {
+				t.Errorf("verdict %s, want %s", out.Verdict, configurer.VerdictInvalid)
+			}
+			if out := replica.Apply(lagoonstile.Entry{Offset: 1, Data: sound}); out.Verdict != configurer.VerdictInForce {
+				t.Errorf("the change behind it: verdict %s (%v), want %s", out.Verdict, out.Err, configurer.VerdictInForce)
+			}
+		})
+	}
+}
