Refuse a number of slots that overflows a service's capacity

What callers would see: a service that takes one request at a time. Cause: a server's slots had no upper bound, and an instance adds up the slots of a service's servers, so one entry near the largest integer makes the sum negative, and the capacity 1 (by reading).

Change: more than 1,048,576 slots are refused, with the number in the error.

Measured: TestOddServersInAChange has the largest integer as a case; the record took effect before, and is invalid now.

--- a/configurer/configurer_test.go
+++ b/configurer/configurer_test.go
@@ -246,6 +246,7 @@
 		{"nested in a field that is not known", server("more", cbor.RawMessage(nested(60_000)))},
 		{"nested in place of the address", server("address", cbor.RawMessage(nested(10)))},
 		{"slots over the largest integer", server("slots", uint64(math.MaxUint64))},
+		{"slots of the largest integer", server("slots", math.MaxInt64)},
 		{"slots 1e300", server("slots", 1e300)},
 		{"negative slots", server("slots", math.MinInt64)},
 		{"port 65536", server("address", "127.0.0.1:65536")},
--- a/service.go
+++ b/service.go
@@ -71,6 +71,10 @@
 	DefaultSlots                 = 6
 )
 
+// MaxSlots is the largest number of slots of a server. Instances add up the slots of a
+// service, so larger numbers could overflow.
+const MaxSlots = 1 << 20
+
 // MinServers returns the number of servers of the service that must stay in use.
 func (s *Service) MinServers() int {
 	n := int(s.Floor * float64(len(s.Servers)))
@@ -162,6 +166,9 @@
 	if s.Slots < 1 {
 		return fmt.Errorf("server %s: slots %d is less than 1", s.ID, s.Slots)
 	}
+	if s.Slots > MaxSlots {
+		return fmt.Errorf("server %s: slots %d is more than %d", s.ID, s.Slots, MaxSlots)
+	}
 	return nil
 }
 
