Show that a graceful stop cuts the answers of clients that pipeline

Cause: a draining connection is closed as soon as its answer is written to the kernel; a further request that arrives then makes the kernel reset it.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -4,4 +4,4 @@
 # could not run.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/lagoonstile ] && [ -x target/review-2 ] || exit 2
-exec timeout -s TERM 100 target/review-2 -case coded-slash -record review/6/record.txt
+exec timeout -s TERM 100 target/review-2 -case cut-answers -record review/6/record.txt
--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -87,3 +88,63 @@
 	}
 	return nil
 }
+
+// Traffic of the case cut-answers. A first request is sent so long after the SIGTERM that
+// it is answered after the node has begun to close connections, 3 s after the SIGTERM, and
+// so early that its answer can be read before the end of the grace time of 6 s.
+const (
+	pipelineClients = 24
+	firstSentAfter  = 2500 * time.Millisecond
+	sentWithin      = 300 * time.Millisecond
+	firstWorkMs     = 700
+	firstBytes      = 500_000
+	bytesPerSecond  = 300_000
+	// Further requests follow the first one, each a time after the one before it.
+	furtherRequests = 4
+	furtherGap      = 500 * time.Millisecond
+)
+
+// playCutAnswers stops a node gracefully while clients that pipeline safe requests read
+// the answer to the first one. What the node has read and passed on must be answered in
+// full.
+func playCutAnswers(s *stage) error {
+	if err := s.startFleet(false); err != nil {
+		return err
+	}
+	node := s.nodes[0]
+	if s.trouble {
+		if err := node.command.Process.Signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		s.note("SIGTERM to %s", node.values.Name)
+	}
+	termAt := time.Now()
+	var clients sync.WaitGroup
+	for n := range pipelineClients {
+		clients.Go(func() {
+			time.Sleep(time.Until(termAt.Add(firstSentAfter + time.Duration(n)*sentWithin/pipelineClients)))
+			s.playPipeline(node, n)
+		})
+	}
+	clients.Wait()
+	return nil
+}
+
+// playPipeline sends the requests of a client and checks their answers. A request that
+// was not passed on does not count.
+func (s *stage) playPipeline(node *node, client int) {
+	p := pipeline{gap: furtherGap, bytesPerSecond: bytesPerSecond}
+	p.requests = append(p.requests, request{
+		id: fmt.Sprintf("client-%02d-first", client), method: http.MethodGet, host: host,
+		target: fmt.Sprintf("/order/files/%d?work-ms=%d&bytes=%d", client, firstWorkMs, firstBytes),
+	})
+	for n := range furtherRequests {
+		p.requests = append(p.requests, request{id: fmt.Sprintf("client-%02d-further-%d", client, n+1), method: http.MethodGet, host: host, target: "/stock/7"})
+	}
+	answers := s.sendPipeline(node.values.HTTP, p)
+	for n, r := range p.requests {
+		if runs := s.noteRequest(r, answers[n]); len(runs) > 0 && answers[n].status == 0 {
+			s.breaks("%s was passed on to %s, which has answered it, and the connection ended without a whole answer", r.id, runs[0].server)
+		}
+	}
+}
--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -44,6 +44,7 @@
 // cases holds the cases by their names. An error means that the case could not run.
 var cases = map[string]func(*stage) error{
 	"hidden-account": playHiddenAccount,
+	"cut-answers":    playCutAnswers,
 	"coded-slash":    playCodedSlash,
 }
 
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -81,17 +82,38 @@
 		server: server.id, service: server.service, id: id, method: req.Method, uri: req.RequestURI,
 		header: req.Header.Clone(), body: string(body),
 	})
-	time.Sleep(workTime)
+	work, size := workOf(req)
+	time.Sleep(work)
 	if rand.Int64N(1_000_000) < server.losing.Load() {
 		reset(w)
 		return
 	}
-	answer := fmt.Sprintf("answer of %s to %s", server.id, id)
+	answer := answerOf(server.id, id, size)
 	w.Header().Set(names.Signature, server.id+"."+id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	_, _ = io.WriteString(w, answer)
 }
 
+// workOf returns the work and the size of the answer that a request asks for in its
+// query.
+func workOf(req *http.Request) (time.Duration, int) {
+	work, size := workTime, 0
+	if ms, err := strconv.Atoi(req.URL.Query().Get("work-ms")); err == nil {
+		work = time.Duration(ms) * time.Millisecond
+	}
+	if bytes, err := strconv.Atoi(req.URL.Query().Get("bytes")); err == nil {
+		size = bytes
+	}
+	return work, size
+}
+
+// answerOf returns the answer of a server to a request, which has at least the given
+// number of bytes.
+func answerOf(server, id string, size int) string {
+	line := fmt.Sprintf("answer of %s to %s\n", server, id)
+	return strings.Repeat(line, max(1, (size+len(line)-1)/len(line)))
+}
+
 // reset resets the connection of a request.
 func reset(w http.ResponseWriter) {
 	conn, _, err := http.NewResponseController(w).Hijack()
