Show that a broken answer costs a client the answers before it

Cause: an answer of over 2 MiB that is broken off ends its connection with a reset, which drops what the kernel still holds of earlier answers.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -43,6 +43,7 @@
 
 // cases holds the cases by their names. An error means that the case could not run.
 var cases = map[string]func(*stage) error{
+	"broken-behind":  playBrokenBehind,
 	"hidden-account": playHiddenAccount,
 	"cut-answers":    playCutAnswers,
 	"coded-slash":    playCodedSlash,
@@ -141,6 +142,9 @@
 			got = append(got, fmt.Sprintf("%s: %q", name, found.header.Values(name)))
 		}
 		text += fmt.Sprintf("\n             run by %s (%s): %s %s [%s]", found.server, found.service, found.method, found.uri, strings.Join(got, "; "))
+		if found.broken {
+			text += ", which broke off its answer"
+		}
 	}
 	s.note("%s", text)
 	return runs
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -13,11 +13,16 @@
 	"time"
 )
 
+// brokenPart is the part of an answer that is sent before it is broken off, in percent.
+const brokenPart = 96
+
 // run is one run of a request as its server saw it.
 type run struct {
 	server, service, id, method, uri string
 	header                           http.Header
 	body                             string
+	// broken is set if the server broke off its answer.
+	broken bool
 }
 
 // server is a stand-in for a sound server. It runs each request for a short time and
@@ -30,8 +35,8 @@
 	born   int64
 	http   *http.Server
 	// losing is the share of the requests that the server runs and whose answers are lost,
-	// in a million.
-	losing atomic.Int64
+	// and breaking that of those whose answers it breaks off, in a million.
+	losing, breaking atomic.Int64
 }
 
 // serverEntry is what a server writes of itself to the store.
@@ -91,6 +96,11 @@
 	answer := answerOf(server.id, id, size)
 	w.Header().Set(names.Signature, server.id+"."+id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if rand.Int64N(1_000_000) < server.breaking.Load() {
+		server.stage.runs.markBroken(id, server.id)
+		_, _ = io.WriteString(w, answer[:len(answer)*brokenPart/100])
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = io.WriteString(w, answer)
 }
 
@@ -138,6 +148,17 @@
 	l.runs = append(l.runs, r)
 }
 
+// markBroken records that a server broke off its answer to a request.
+func (l *runList) markBroken(id, server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for n := range l.runs {
+		if l.runs[n].id == id && l.runs[n].server == server {
+			l.runs[n].broken = true
+		}
+	}
+}
+
 // of returns the runs of a request.
 func (l *runList) of(id string) []run {
 	l.mu.Lock()
