Let the clients of the reviewed cases read at an even rate

Cause: the stage's slow reader saved up its rate while it waited for an answer. Change: it paces each read; in review/6 clients now read 20 Mbit/s.

--- a/review/stage/cases.go
+++ b/review/stage/cases.go
@@ -100,10 +100,10 @@
 	sentWithin      = 300 * time.Millisecond
 	firstWorkMs     = 700
 	firstBytes      = 500_000
-	bytesPerSecond  = 300_000
+	bytesPerSecond  = 2_500_000
 	// Further requests follow the first one, each a time after the one before it.
-	furtherRequests = 4
-	furtherGap      = 500 * time.Millisecond
+	furtherRequests = 8
+	furtherGap      = 200 * time.Millisecond
 )
 
 // playCutAnswers stops a node gracefully while clients that pipeline safe requests read
--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -55,22 +55,17 @@
 	return answer{status: response.StatusCode, signed: response.Header.Get(s.names.Signature) != "", body: string(body)}
 }
 
-// slowReader reads at most a number of bytes a second.
+// slowReader reads at most a number of bytes a second, like a client behind a link of
+// that bandwidth.
 type slowReader struct {
 	source         io.Reader
 	bytesPerSecond int
-	began          time.Time
-	read           int
 }
 
 // Read implements io.Reader.
 func (r *slowReader) Read(p []byte) (int, error) {
-	if r.began.IsZero() {
-		r.began = time.Now()
-	}
-	time.Sleep(time.Until(r.began.Add(time.Duration(r.read) * time.Second / time.Duration(r.bytesPerSecond))))
 	n, err := r.source.Read(p[:min(len(p), 4<<10)])
-	r.read += n
+	time.Sleep(time.Duration(n) * time.Second / time.Duration(r.bytesPerSecond))
 	return n, err
 }
 
