Test crowds on machines with little memory for each descriptor

Cause: the tests of crowds ran with 400 descriptors, so that few clients came in, and counted unread bytes by the port of clients only. With thousands of descriptors a crowd of 400 ends the process: nothing counts what the kernel has received for connections of clients and to servers. Unread bytes of every socket of the process count, found by its descriptors, and those of connections that wait to be accepted. The crowds and bounds that were there are unchanged; they are held to this count as well.

--- a/cmd/standin/crowder/crowd_test.go
+++ b/cmd/standin/crowder/crowd_test.go
@@ -29,10 +29,16 @@
 // all clients have sent everything or can send nothing more: writes that are not
 // accepted for stuckAfter end the client's part.
 func (i *instance) crowd(clients int, send func(w io.Writer) error) {
+	i.t.Helper()
+	i.crowdAt(i.address, clients, send)
+}
+
+// crowdAt is crowd for another listener of the process.
+func (i *instance) crowdAt(address string, clients int, send func(w io.Writer) error) {
 	i.t.Helper()
 	var sending sync.WaitGroup
 	for range clients {
-		conn, err := net.DialTimeout("tcp", i.address, 5*time.Second)
+		conn, err := net.DialTimeout("tcp", address, 5*time.Second)
 		if err != nil {
 			// To refuse a connection is allowed.
 			sending.Go(func() { _ = send(refusedWriter{err}) })
@@ -267,23 +273,29 @@
 // TestLargestBodies sends the largest body within the limits, alone, with a length and
 // in chunks, to an instance on a small machine. Each must be served.
 func TestLargestBodies(t *testing.T) {
-	const smallMachineMB, largestBody, chunkBytes = 184, 64 << 20, 1 << 20
-	i := startInstanceWith(t, smallMachineMB, largestBody)
-	whole := i.exchange(time.Minute, func(w io.Writer) error {
-		if err := sendText(w, order(fmt.Sprintf("Content-Length: %d", largestBody)), 1); err != nil {
+	checkLargestBodies(t, setup{memoryMB: 184, maxBodyBytes: 64 << 20})
+}
+
+// checkLargestBodies sends the largest body of a setup, with a length and in chunks.
+func checkLargestBodies(t *testing.T, with setup) {
+	t.Helper()
+	const chunkBytes = 1 << 20
+	i := startInstanceWith(t, with)
+	whole := exchange(i.address, time.Minute, func(w io.Writer) error {
+		if err := sendText(w, order(fmt.Sprintf("Content-Length: %d", with.maxBodyBytes)), 1); err != nil {
 			return err
 		}
-		return sendZeros(w, largestBody)
+		return sendZeros(w, with.maxBodyBytes)
 	})
 	if whole != "200 ok" {
 		t.Errorf("the largest body with a length: answer %q, want 200 ok", whole)
 	}
 	i.check()
-	chunked := i.exchange(time.Minute, func(w io.Writer) error {
+	chunked := exchange(i.address, time.Minute, func(w io.Writer) error {
 		if err := sendText(w, order("Transfer-Encoding: chunked"), 1); err != nil {
 			return err
 		}
-		for range largestBody / chunkBytes {
+		for range with.maxBodyBytes / chunkBytes {
 			if err := sendChunk(w, chunkBytes); err != nil {
 				return err
 			}
--- a/cmd/standin/crowder/instance_test.go
+++ b/cmd/standin/crowder/instance_test.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -30,6 +29,30 @@
 	maxBodyBytes   = 16 << 20
 )
 
+// setup is how an instance is started. The zero value of a field means its constant
+// above.
+type setup struct {
+	memoryMB     int64
+	descriptors  int
+	maxBodyBytes int
+	// unconfigured is set if the store has no configuration at the start.
+	unconfigured bool
+}
+
+// withDefaults returns the setup with the defaults in place of zero values.
+func (s setup) withDefaults() setup {
+	if s.memoryMB == 0 {
+		s.memoryMB = memoryMB
+	}
+	if s.descriptors == 0 {
+		s.descriptors = maxDescriptors
+	}
+	if s.maxBodyBytes == 0 {
+		s.maxBodyBytes = maxBodyBytes
+	}
+	return s
+}
+
 // Times of the tests. None of them is a bound of what the process does.
 const (
 	sampleInterval = 20 * time.Millisecond
@@ -38,6 +61,8 @@
 	answerWithin = 60 * time.Second
 	// serverWork is how long the server works on a request for pathOrder.
 	serverWork = 500 * time.Millisecond
+	// graceSeconds is the time that the process has to end after SIGTERM, in the settings.
+	graceSeconds = 6
 )
 
 // Paths of the configuration. A request for pathDownload gets as many bytes as its
@@ -55,16 +80,27 @@
 	command *exec.Cmd
 	exited  chan struct{}
 	output  lockedBuffer
-	// address is the IP:port for clients.
-	address string
-	// memoryMB is the limit of memory in the settings.
-	memoryMB int64
+	// address is the IP:port for clients. The others are those for readiness checks, for
+	// clients that ask where to connect, and for peers.
+	address, readiness, directory, peers string
+	// operators is that for operators of the daemon.
+	operators string
+	// memoryMB and descriptors are the limits in the settings.
+	memoryMB    int64
+	descriptors int
+	store       *emulator.KeyedStore
+	server      *server
+	// program starts the process, which reads its settings from file.
+	program []string
+	file    string
 
 	mu sync.Mutex
 	// peakBytes is the highest sum of memory and of bytes received and not read yet,
 	// and peakDescriptors the highest number of descriptors, of all samples.
 	peakBytes       int64
 	peakDescriptors int
+	// peakUnread is the highest number of bytes received and not read yet.
+	peakUnread int64
 }
 
 // lockedBuffer keeps the last output of a process.
@@ -121,13 +157,13 @@
 // startInstance starts an instance and waits until it answers an ordinary request.
 func startInstance(t *testing.T) *instance {
 	t.Helper()
-	return startInstanceWith(t, memoryMB, maxBodyBytes)
+	return startInstanceWith(t, setup{})
 }
 
-// startInstanceWith is startInstance with another limit of memory, and another limit
-// for the bodies of clients.
-func startInstanceWith(t *testing.T, memoryMB int64, maxBodyBytes int) *instance {
+// startInstanceWith is startInstance with another setup.
+func startInstanceWith(t *testing.T, with setup) *instance {
 	t.Helper()
+	with = with.withDefaults()
 	binary, err := daemon()
 	if err != nil {
 		t.Fatal(err)
@@ -137,112 +173,87 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(store.Stop)
-	store.Put("keyed.op", "config", configuration(maxBodyBytes))
-	startServer(t, store)
+	if !with.unconfigured {
+		store.Put("keyed.op", "config", configuration(1, with.maxBodyBytes))
+	}
 	ports := freePorts(t, 4)
 	at := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", ports[n]) }
-	settings, err := json.Marshal(map[string]any{
+	i := &instance{
+		t: t, memoryMB: with.memoryMB, descriptors: with.descriptors, store: store, program: []string{binary, "platform"},
+		address: at(0), readiness: at(1), directory: at(2), peers: at(3),
+	}
+	i.server = startServer(t)
+	i.server.register(t, store)
+	i.writeSettings(map[string]any{
 		"node": "edge-1", "ip": "127.0.0.1", "zone": "zone-1", "bootstrap": true,
-		"listen":     map[string]string{"http": at(0), "readiness": at(1), "registry": at(2)},
+		"listen":     map[string]string{"http": i.address, "readiness": i.readiness, "registry": i.directory},
 		"port_range": []int{ports[3], ports[3]},
-		"bounds":     map[string]any{"grace_s": 6, "ttl_max_s": 5, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 60},
-		"limits":     map[string]any{"cpu_quota": 0.768, "cpu_speed": 1, "memory_mb": memoryMB, "max_fds": maxDescriptors},
+		"bounds":     map[string]any{"grace_s": graceSeconds, "ttl_max_s": 5, "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 60},
+		"limits":     map[string]any{"cpu_quota": 0.768, "cpu_speed": 1, "memory_mb": with.memoryMB, "max_fds": with.descriptors},
 		"platform":   map[string]any{"address": store.Address()},
 	})
-	if err != nil {
-		t.Fatal(err)
+	i.run()
+	if !with.unconfigured {
+		i.awaitAnswer()
 	}
-	i := &instance{t: t, address: at(0), memoryMB: memoryMB}
-	i.run(exec.Command(binary, "platform"), settings)
-	i.awaitAnswer()
 	return i
 }
 
-// run starts the process with a settings file and watches it until the test ends.
-func (i *instance) run(command *exec.Cmd, settings []byte) {
+// writeSettings writes the settings file as JSON.
+func (i *instance) writeSettings(settings map[string]any) {
 	i.t.Helper()
-	file := filepath.Join(i.t.TempDir(), "settings.json")
-	if err := os.WriteFile(file, settings, 0o600); err != nil {
+	data, err := json.Marshal(settings)
+	if err != nil {
 		i.t.Fatal(err)
 	}
-	i.command, i.exited = command, make(chan struct{})
-	command.Env = append(os.Environ(), platform.EnvSettings+"="+file)
+	i.file = filepath.Join(i.t.TempDir(), "settings.json")
+	if err := os.WriteFile(i.file, data, 0o600); err != nil {
+		i.t.Fatal(err)
+	}
+}
+
+// run starts the process and watches it until it ends, at the latest with the test.
+func (i *instance) run() {
+	i.t.Helper()
+	command, exited := exec.Command(i.program[0], i.program[1:]...), make(chan struct{})
+	command.Env = append(os.Environ(), platform.EnvSettings+"="+i.file)
 	command.Stdout, command.Stderr = &i.output, &i.output
 	if err := command.Start(); err != nil {
 		i.t.Fatal(err)
 	}
+	i.command, i.exited = command, exited
 	go func() {
 		_ = command.Wait()
-		close(i.exited)
+		close(exited)
 	}()
-	go i.watch()
+	go i.watch(command.Process, exited)
 	i.t.Cleanup(func() {
 		_ = command.Process.Kill() // It may have ended.
-		<-i.exited
+		<-exited
 	})
 }
 
-// watch takes samples of what the process uses until it ends. A process that is over
+// watch takes samples of what a process uses until it ends. A process that is over
 // its limit of memory is killed, as the platform does.
-func (i *instance) watch() {
+func (i *instance) watch(process *os.Process, exited <-chan struct{}) {
 	for {
 		select {
-		case <-i.exited:
+		case <-exited:
 			return
 		case <-time.After(sampleInterval):
 		}
-		used := i.memory("VmRSS") + i.unreadBytes()
-		descriptors, _ := os.ReadDir(i.proc("fd")) // The process may have ended.
+		resident := memoryOf(process.Pid, "VmRSS")
+		descriptors, unread := socketsOf(process.Pid)
+		used := resident + unread
 		i.mu.Lock()
-		i.peakBytes = max(i.peakBytes, used, i.memory("VmHWM"))
-		i.peakDescriptors = max(i.peakDescriptors, len(descriptors))
+		i.peakBytes = max(i.peakBytes, used, memoryOf(process.Pid, "VmHWM"))
+		i.peakUnread = max(i.peakUnread, unread)
+		i.peakDescriptors = max(i.peakDescriptors, descriptors)
 		i.mu.Unlock()
 		if used > i.memoryMB<<20 {
-			_ = i.command.Process.Kill()
-		}
-	}
-}
-
-func (i *instance) proc(name string) string {
-	return filepath.Join("/proc", strconv.Itoa(i.command.Process.Pid), name)
-}
-
-// memory returns a size of /proc/PID/status in bytes, or 0 if the process has ended.
-func (i *instance) memory(field string) int64 {
-	data, err := os.ReadFile(i.proc("status"))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(data)) {
-		var kB int64
-		if n, _ := fmt.Sscanf(line, field+": %d kB", &kB); n == 1 {
-			return kB << 10
+			_ = process.Kill()
 		}
 	}
-	return 0
-}
-
-// unreadBytes returns the bytes that the kernel has received for the connections of
-// the client address and that the process has not read.
-func (i *instance) unreadBytes() int64 {
-	data, err := os.ReadFile("/proc/net/tcp")
-	if err != nil {
-		return 0
-	}
-	_, port, _ := net.SplitHostPort(i.address)
-	number, _ := strconv.Atoi(port)
-	local := fmt.Sprintf(":%04X", number)
-	var sum int64
-	for line := range strings.Lines(string(data)) {
-		fields := strings.Fields(line)
-		if len(fields) < 5 || !strings.HasSuffix(fields[1], local) || fields[3] == "0A" {
-			continue
-		}
-		_, queue, _ := strings.Cut(fields[4], ":")
-		unread, _ := strconv.ParseInt(queue, 16, 64)
-		sum += unread
-	}
-	return sum
 }
 
 // check checks that the process lives, that it stayed within its limits, and that it
@@ -252,17 +263,28 @@
 	i.awaitAnswer()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.t.Logf("peak: %d MB of %d MB, %d descriptors of %d", i.peakBytes>>20, i.memoryMB, i.peakDescriptors, maxDescriptors)
+	i.t.Logf("peak: %d MB of %d MB, at most %d MB of it not read, %d descriptors of %d",
+		i.peakBytes>>20, i.memoryMB, i.peakUnread>>20, i.peakDescriptors, i.descriptors)
 	if i.peakBytes > i.memoryMB<<20 {
 		i.t.Errorf("the process used %d MB, its limit is %d MB", i.peakBytes>>20, i.memoryMB)
 	}
-	if i.peakDescriptors > maxDescriptors {
-		i.t.Errorf("the process had %d descriptors, its limit is %d", i.peakDescriptors, maxDescriptors)
+	if i.peakDescriptors > i.descriptors {
+		i.t.Errorf("the process had %d descriptors, its limit is %d", i.peakDescriptors, i.descriptors)
 	}
 }
 
 // awaitAnswer sends an ordinary request until it is answered with success.
 func (i *instance) awaitAnswer() {
+	i.t.Helper()
+	i.await("no ordinary request was answered", func() (bool, string) {
+		answer := i.ordinary()
+		return answer == "200 ok", answer
+	})
+}
+
+// await repeats a try until it succeeds, for at most answerWithin. The process must not
+// end.
+func (i *instance) await(failure string, try func() (ok bool, answer string)) {
 	i.t.Helper()
 	last := ""
 	for end := time.Now().Add(answerWithin); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
@@ -270,31 +292,31 @@
 		case <-i.exited:
 			i.mu.Lock()
 			defer i.mu.Unlock()
-			i.t.Fatalf("the process ended (%v) after a peak of %d MB of %d MB and %d descriptors\n%s",
-				i.command.ProcessState, i.peakBytes>>20, i.memoryMB, i.peakDescriptors, i.output.tail())
+			i.t.Fatalf("the process ended (%v) after a peak of %d MB of %d MB, at most %d MB of it not read, and %d descriptors\n%s",
+				i.command.ProcessState, i.peakBytes>>20, i.memoryMB, i.peakUnread>>20, i.peakDescriptors, i.output.tail())
 		default:
 		}
-		answer := i.ordinary()
-		if answer == "200 ok" {
+		ok, answer := try()
+		if ok {
 			return
 		}
 		last = answer
 	}
-	i.t.Fatalf("no ordinary request was answered within %v, the last one with %q\n%s", answerWithin, last, i.output.tail())
+	i.t.Fatalf("%s within %v, the last answer was %q\n%s", failure, answerWithin, last, i.output.tail())
 }
 
 // ordinary sends one request on a connection of its own and returns the status and
 // the body of the answer, or the error.
 func (i *instance) ordinary() string {
-	return i.exchange(5*time.Second, func(w io.Writer) error {
+	return exchange(i.address, 5*time.Second, func(w io.Writer) error {
 		return sendText(w, head("GET", pathLook+"1", "X-Request-Id: ordinary"), 1)
 	})
 }
 
-// exchange sends one request on a connection of its own and returns the status and
-// the body of the answer, or the error.
-func (i *instance) exchange(timeout time.Duration, send func(w io.Writer) error) string {
-	conn, err := net.DialTimeout("tcp", i.address, timeout)
+// exchange sends one request on a connection of its own to an address (IP:port) and
+// returns the status and the body of the answer, or the error.
+func exchange(address string, timeout time.Duration, send func(w io.Writer) error) string {
+	conn, err := net.DialTimeout("tcp", address, timeout)
 	if err != nil {
 		return err.Error()
 	}
@@ -318,54 +340,17 @@
 	return strings.Join(lines, "\r\n") + "\r\n\r\n"
 }
 
-// configuration returns a configuration with one service.
-func configuration(maxBodyBytes int) []byte {
+// configuration returns a version of a configuration with one service.
+func configuration(version, maxBodyBytes int) []byte {
 	var policies []string
 	for _, path := range []string{pathLook, pathOrder, pathDownload} {
 		kind := map[string]string{pathLook: "safe", pathOrder: "unsafe", pathDownload: "download"}[path]
 		policies = append(policies, fmt.Sprintf(`{"name":%q,"kind":%q,"slo_s":10,"priority":1,"match":{"path_prefix":%q},
 			"action":{"service":"stock","timeout_s":20,"max_attempts":2}}`, path, kind, path))
 	}
-	return fmt.Appendf(nil, `{"version":"00000001","limits":{"max_header_bytes":%d,"max_body_bytes":%d,"header_timeout_s":3,"idle_timeout_s":15},
+	return fmt.Appendf(nil, `{"version":"%08x","limits":{"max_header_bytes":%d,"max_body_bytes":%d,"header_timeout_s":3,"idle_timeout_s":15},
 		"listeners":[{"host":"shop.example","policies":[%s]}],"upstreams":[{"name":"stock","health_path":"/healthz","max_conns":400}]}`,
-		maxHeaderBytes, maxBodyBytes, strings.Join(policies, ","))
-}
-
-// startServer starts a server of the service and registers it in the store.
-func startServer(t *testing.T, store *emulator.KeyedStore) {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := &http.Server{Handler: http.HandlerFunc(serve)}
-	go func() { _ = server.Serve(ln) }() // Serve returns after Close.
-	t.Cleanup(func() { _ = server.Close() })
-	entry, err := json.Marshal(map[string]any{
-		"service": "stock", "address": ln.Addr().String(), "zone": "zone-1", "version": "v1",
-		"capacity": 64, "state": "ready", "warmup_left_s": 0, "seq": 1, "born": 1,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	store.Put("keyed.servers", "stock-1", entry)
-}
-
-// serve answers the requests that reach the server.
-func serve(w http.ResponseWriter, req *http.Request) {
-	_, _ = io.Copy(io.Discard, req.Body)
-	w.Header().Set("X-Request-Id", req.Header.Get("X-Request-Id"))
-	w.Header().Set("X-Server-Signature", "signed")
-	switch {
-	case strings.HasPrefix(req.URL.Path, pathDownload):
-		size, _ := strconv.Atoi(req.URL.RawQuery)
-		w.Header().Set("Content-Length", strconv.Itoa(size))
-		_, _ = io.CopyN(w, zeros{}, int64(size))
-		return
-	case strings.HasPrefix(req.URL.Path, pathOrder):
-		time.Sleep(serverWork)
-	}
-	_, _ = io.WriteString(w, "ok")
+		version, maxHeaderBytes, maxBodyBytes, strings.Join(policies, ","))
 }
 
 // zeros is a reader of zero bytes without end.
