Do not count a connection that has ended as busy

Cause: a reader that met the end of its connection stopped waiting first and marked it as closed after that, so that it was neither idle nor closed in between. Change: the connection is marked while it still counts as waiting.

--- a/listener/request.go
+++ b/listener/request.go
@@ -109,11 +109,12 @@
 	for skipped := 0; ; skipped++ {
 		if len(c.in) == 0 {
 			c.startWaiting()
-			err := c.fill()
-			c.stopWaiting()
-			if err != nil {
+			if c.fill() != nil {
+				// Before it stops waiting: a connection that has ended is not busy.
+				c.markClosed()
 				return errGone
 			}
+			c.stopWaiting()
 		}
 		switch {
 		case c.in[0] == '\n':
