Close a connection that becomes idle during a drain, whoever notices

Callers saw a connection that stayed open after its response while the instance was stopping; the stop waited for it until the end of its grace. Cause: after the last response, the goroutine that had written it closed the connection if it was idle. If the reading goroutine had not come to wait for the next request yet, it was not, and nothing closed it later. Evidence: TestStartDrainClosesConnections waits for the end without a limit. Change: the connection is closed where it becomes idle, by either goroutine.

--- a/listener/conn.go
+++ b/listener/conn.go
@@ -214,9 +214,14 @@
 	}
 }
 
-// becomeIdle starts the time after which an idle connection is closed. The caller
-// holds c.mu.
+// becomeIdle starts the time after which an idle connection is closed. One of a draining
+// listener is closed at once; StartDrain closes it if it begins after this check. The
+// caller holds c.mu.
 func (c *conn) becomeIdle() {
+	if c.received && c.listener.isDraining() {
+		_ = c.Close()
+		return
+	}
 	c.idleSince = time.Now()
 	_ = c.SetReadDeadline(c.idleSince.Add(c.listener.limits.IdleTimeout))
 	c.share.Begin(rationer.Idle)
@@ -312,8 +317,7 @@
 	}
 }
 
-// runExchanges answers requests until there are none. An idle connection of a draining
-// listener is then closed.
+// runExchanges answers requests until there are none.
 func (c *conn) runExchanges() {
 	for {
 		c.mu.Lock()
@@ -326,13 +330,9 @@
 		x.share.Close()
 		<-c.slots
 		if !c.finishExchange() {
-			break
+			return
 		}
 	}
-	// StartDrain closes the connection if it begins after this check.
-	if c.listener.isDraining() {
-		c.closeIfIdle()
-	}
 }
 
 // run answers one request. If the handler panics, the connection is aborted, and other
