Bound what the kernel receives for connections to servers

Callers saw connections reset: the process was killed for its memory when clients did not read large answers. Cause: connections that the process opens, to servers, the store and peers, left the size of their receive buffers to the kernel, which lets them grow to megabytes while the process waits for a client.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -29,6 +29,7 @@
 	"time"
 
 	"lagoonstile/rationer"
+	"lagoonstile/sizer"
 )
 
 // Limits are limits of one response. The value 0 of a field means its value in
@@ -77,6 +78,9 @@
 	maxErrorBytes = 200
 )
 
+// ReceiveBuffer is the size of the receive buffer of the connections to servers.
+const ReceiveBuffer sizer.Size = 16 << 10
+
 // Request is a request to one server.
 type Request struct {
 	// Address is the server's host:port.
@@ -142,7 +146,7 @@
 func Do(ctx context.Context, req *Request) (*Response, error) {
 	// The context bounds the time of an exchange. Keep-alive probes would only cost
 	// four system calls.
-	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: connectTimeout, KeepAlive: -1, Control: ReceiveBuffer.Control}
 	conn, err := dialer.DialContext(ctx, "tcp", req.Address)
 	if err != nil {
 		return nil, &Error{Cause: fmt.Errorf("connect: %w", err)}
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -60,7 +60,7 @@
 
 // newTransport returns a transport that does not decompress bodies.
 func newTransport(kind transportKind, limits exchanger.Limits) *http.Transport {
-	dialer := net.Dialer{Timeout: connectTimeout}
+	dialer := net.Dialer{Timeout: connectTimeout, Control: exchanger.ReceiveBuffer.Control}
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		DisableCompression:     true,
--- /dev/null
+++ b/sizer/sizer.go
@@ -0,0 +1,59 @@
+// Package sizer sets how much the kernel receives for sockets that are not read, and how
+// many connections it completes for listeners that do not accept them.
+//
+// What the kernel holds in this way counts as memory of the process. A socket whose size
+// is not set grows to megabytes.
+package sizer
+
+import (
+	"io"
+	"net"
+	"syscall"
+)
+
+// Size is the size of a receive buffer in bytes, as it is asked for. The value 0 leaves
+// the size to the kernel.
+type Size int
+
+// overheadFactor is how much more than the size asked for Linux grants, for its own
+// overhead (socket(7), SO_RCVBUF). Where the overhead is small, payload fills all of it.
+const overheadFactor = 2
+
+// Bytes returns the most that the kernel holds for a socket with a receive buffer of the
+// size.
+func (s Size) Bytes() int64 { return overheadFactor * int64(s) }
+
+// Control sets the size of the receive buffer of a socket before it is bound or
+// connected. It has the form of the field Control of net.ListenConfig, whose
+// connections inherit the size, and of net.Dialer. Where the size cannot be set, that of
+// the kernel stays.
+func (s Size) Control(_, _ string, raw syscall.RawConn) error {
+	if s == 0 {
+		return nil
+	}
+	return raw.Control(func(fd uintptr) {
+		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, int(s))
+	})
+}
+
+// Set sets the size of the receive buffer of an open connection, a net.TCPConn. It does
+// nothing for any other reader.
+func (s Size) Set(conn io.Reader) {
+	if tcp, ok := conn.(*net.TCPConn); ok && s > 0 {
+		_ = tcp.SetReadBuffer(int(s))
+	}
+}
+
+// SetBacklog sets how many connections the kernel completes for a listener before they
+// are accepted. Where it cannot be set, that of the kernel stays.
+func SetBacklog(l net.Listener, backlog int) {
+	tcp, ok := l.(*net.TCPListener)
+	if !ok || backlog <= 0 {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), backlog) })
+}
