Keep one account of memory, with what the kernel receives for clients

Callers saw connections reset: the process was killed for its memory beside a crowd of clients, most of whose bytes it had not even read. Cause: the budget counted what the process has read. A connection took 16 KiB of it, and its receive buffer, up to 256 KiB, nothing; with thousands of descriptors their sum was more than the memory. All listeners shared one budget, and a request's connection to its server was not in its price. Other listeners have budgets of their own. Without room, a new connection takes the place of the one that holds most for longest without getting on; before, it was the one idle longest. A limit for bodies above the memory is logged.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -76,10 +76,20 @@
 	freeBytes = 16 << 10
 	// maxErrorBytes is the size of the longest text of an error that quotes a server.
 	maxErrorBytes = 200
+	// enlargingBytes is the length of a body from which a connection gets the receive
+	// buffer bodyReceiveBuffer, if the budget has room to spare.
+	enlargingBytes = 64 << 10
 )
 
-// ReceiveBuffer is the size of the receive buffer of the connections to servers.
-const ReceiveBuffer sizer.Size = 16 << 10
+// ExchangeBytes is what an exchange takes of the budget: its buffers, goroutines and the
+// receive buffer of its connection. Whoever calls Do must have taken it.
+var ExchangeBytes = 16<<10 + ReceiveBuffer.Bytes()
+
+// Receive buffers of the connections to servers.
+const (
+	ReceiveBuffer     sizer.Size = 16 << 10
+	bodyReceiveBuffer sizer.Size = 64 << 10
+)
 
 // Request is a request to one server.
 type Request struct {
@@ -216,9 +226,18 @@
 	if got := httpResp.Header.Get(req.RequestIDHeader); got != req.RequestID {
 		return nil, fmt.Errorf("%w: %q", errRequestIDMismatch, got)
 	}
+	enlarge(limited.Reader, httpResp.ContentLength, share)
 	return readBody(httpResp, req.Method, share)
 }
 
+// enlarge gives a connection the receive buffer for large bodies, if the body may be
+// large and the budget has room to spare.
+func enlarge(conn io.Reader, length int64, share *rationer.Share) {
+	if length < 0 || length >= enlargingBytes {
+		sizer.Enlarge(conn, ReceiveBuffer, bodyReceiveBuffer, share)
+	}
+}
+
 // maxCopiedBody is the size of the largest body that is copied behind the head, so that
 // one write sends both.
 const maxCopiedBody = 16 << 10
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -22,14 +23,8 @@
 	// maxPipelined is how many requests of one connection are read before the first of
 	// them is answered.
 	maxPipelined = 16
-	// connBytes is what an open connection takes of the budget.
+	// connBytes is what an open connection takes of the budget besides its receive buffer.
 	connBytes = 16 << 10
-	// pausedReadBytes is the size of the kernel's receive buffer of a connection that
-	// is not read because maxPipelined requests of it wait.
-	pausedReadBytes = 32 << 10
-	// slowWriteTime is the time after which a write that its client has not taken may be
-	// broken off to make room for another connection.
-	slowWriteTime = 5 * time.Second
 	// lingerTime and lingerBytes limit how long, and how much of a request, a
 	// connection is still read after its last response. A connection that is closed
 	// with unread bytes is reset, and the client may then lose the response.
@@ -58,9 +53,11 @@
 	// slots limits the number of exchanges to maxPipelined.
 	slots chan struct{}
 
-	// in holds the bytes that were read and not parsed, in buffer. Both belong to the
-	// reading goroutine.
+	// in holds the bytes that were read and not parsed, in buffer. They belong to the
+	// reading goroutine, as does enlarged, which is set once the receive buffer is that
+	// for bodies.
 	in, buffer []byte
+	enlarged   bool
 
 	// writingSince is when the write in progress began, in Unix nanoseconds, or 0.
 	writingSince atomic.Int64
@@ -70,10 +67,8 @@
 	// running. drained is closed when there are none, if it is not nil.
 	exchanges []*exchange
 	drained   chan struct{}
-	// waiting is set while the reading goroutine waits for the first byte of a request,
-	// since the time idleSince.
-	waiting   bool
-	idleSince time.Time
+	// waiting is set while the reading goroutine waits for the first byte of a request.
+	waiting bool
 	// reading is the share of the request that is being read, and isReading is set while
 	// there is one.
 	reading   *rationer.Share
@@ -88,9 +83,9 @@
 }
 
 func newConn(tcp net.Conn, l *Listener) *conn {
-	c := &conn{Conn: tcp, listener: l, slots: make(chan struct{}, maxPipelined), idleSince: time.Now(), waiting: true}
+	c := &conn{Conn: tcp, listener: l, slots: make(chan struct{}, maxPipelined), waiting: true}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.share = l.limits.Budget.NewShare(c.closeIfWaiting)
+	c.share = l.limits.Budget.NewShare(rationer.Connection, c.closeIfWaiting)
 	return c
 }
 
@@ -106,10 +101,6 @@
 			c.Abort()
 		}
 	}()
-	if !c.share.Take(c.ctx, connBytes) {
-		c.Abort()
-		return
-	}
 	c.buffer = make([]byte, readBufferBytes)
 	c.in = c.buffer[:0]
 	for c.readOne() {
@@ -145,6 +136,7 @@
 	}
 	if x.failure != nil {
 		// A refusal needs no memory while it waits for earlier responses.
+		c.dropInput()
 		share.Close()
 		// The client may have sent the same order before, and it may have run.
 		if x.req != nil && x.req.Header.Get("Idempotency-Key") != "" {
@@ -160,6 +152,13 @@
 	return !last
 }
 
+// dropInput drops the bytes that were read and not parsed, after which no request is
+// read.
+func (c *conn) dropInput() {
+	c.buffer = make([]byte, readBufferBytes)
+	c.in = c.buffer[:0]
+}
+
 // refused returns the request, or one in its place if it could not be read, as one
 // after which the connection is closed.
 func refused(req *http.Request) *http.Request {
@@ -222,8 +221,7 @@
 		_ = c.Close()
 		return
 	}
-	c.idleSince = time.Now()
-	_ = c.SetReadDeadline(c.idleSince.Add(c.listener.limits.IdleTimeout))
+	_ = c.SetReadDeadline(time.Now().Add(c.listener.limits.IdleTimeout))
 	c.share.Begin(rationer.Idle)
 }
 
@@ -241,14 +239,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading, c.isReading, c.giveUp = share, true, false
-	c.idleSince = time.Now()
+	if len(c.exchanges) == 0 {
+		share.SetBase(c.share)
+	}
 	share.Begin(rationer.Reading)
 }
 
 // newShare returns the share of a request.
 func (c *conn) newShare() *rationer.Share {
 	var share *rationer.Share
-	share = c.listener.limits.Budget.NewShare(func(phase rationer.Phase) { c.revoke(share, phase) })
+	share = c.listener.limits.Budget.NewShare(rationer.Request, func(phase rationer.Phase) { c.revoke(share, phase) })
 	return share
 }
 
@@ -277,6 +277,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading.Begin(rationer.Working)
+	c.reading.SetBase(nil)
 	c.reading, c.isReading = nil, false
 	return !c.giveUp
 }
@@ -300,14 +301,7 @@
 // execute answers a request after the earlier ones of the connection. It waits while
 // maxPipelined requests have not been answered.
 func (c *conn) execute(x *exchange) {
-	select {
-	case c.slots <- struct{}{}:
-	default:
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
-			_ = tcp.SetReadBuffer(pausedReadBytes)
-		}
-		c.slots <- struct{}{}
-	}
+	c.slots <- struct{}{}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reading, c.isReading = nil, false
@@ -347,6 +341,10 @@
 	ctx, cancel := context.WithCancel(rationer.WithShare(c.ctx, x.share))
 	defer cancel()
 	w := newResponse(x.req, c, x.share)
+	if x.failure == nil && !x.share.Take(ctx, c.listener.limits.HandlerBytes) {
+		x.failure = busy()
+		refused(x.req)
+	}
 	if x.failure != nil {
 		c.listener.logRefusal(x.failure)
 		x.failure.Write(w, "")
@@ -360,13 +358,14 @@
 }
 
 // end ends the connection after its last response. The client has lingerTime to read
-// the response if it may still be sending its request.
+// the response if it may still be sending its request, unless the memory of the
+// connection is needed.
 func (c *conn) end(sending bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ended = true
 	tcp, ok := c.Conn.(*net.TCPConn)
-	if !sending || !ok {
+	if !sending || c.giveUp || !ok {
 		_ = c.Close()
 		return
 	}
@@ -492,26 +491,57 @@
 type waitClass int
 
 const (
-	waitsForRequest waitClass = iota
-	waitsForRest
+	// waitsForEnd: the last response was written.
+	waitsForEnd waitClass = iota
+	// waitsForClient: there is no request, or the client does not get on with it.
+	waitsForClient
+	// waitsForReader: the client does not take a response.
 	waitsForReader
+	// waitsForProgress: the client gets on with its request.
+	waitsForProgress
+	// waitsForServer is never closed.
 	waitsForServer
 )
 
-// waitsFor returns what the connection waits for, and since when.
-func (c *conn) waitsFor() (waitClass, time.Time) {
+// wait is a connection with what it waits for.
+type wait struct {
+	conn  *conn
+	class waitClass
+	// held is the number of bytes that it holds, and behind how long its client has not
+	// got on.
+	held   int64
+	behind time.Duration
+}
+
+// compareWaits orders connections by class, and within a class by bytes times time.
+func compareWaits(a, b wait) int {
+	if a.class != b.class {
+		return cmp.Compare(a.class, b.class)
+	}
+	return cmp.Compare(float64(b.held)*b.behind.Seconds(), float64(a.held)*a.behind.Seconds())
+}
+
+// waitsFor returns what the connection waits for.
+func (c *conn) waitsFor(now time.Time) wait {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	since := c.writingSince.Load()
+	class, share := waitsForServer, c.share
+	writing := c.writingSince.Load()
 	switch {
+	case c.ended && len(c.exchanges) == 0:
+		class = waitsForEnd
 	case c.idle():
-		return waitsForRequest, c.idleSince
+		class = waitsForClient
 	case c.isReading && len(c.exchanges) == 0:
-		return waitsForRest, c.idleSince
-	case since != 0 && time.Since(time.Unix(0, since)) > slowWriteTime:
-		return waitsForReader, time.Unix(0, since)
+		class, share = waitsForProgress, c.reading
+	case writing != 0 && now.Sub(time.Unix(0, writing)) > rationer.MinWriteBehind:
+		class = waitsForReader
+	}
+	standing := share.Standing(now)
+	if class == waitsForProgress && standing.Behind >= rationer.MinBehind {
+		class = waitsForClient
 	}
-	return waitsForServer, time.Time{}
+	return wait{conn: c, class: class, held: standing.HeldBytes, behind: standing.Behind}
 }
 
 // markClosed records that the client has closed the connection, and cancels the
@@ -523,11 +553,17 @@
 	c.cancel()
 }
 
-// shed closes a connection if it still waits for its client as it did.
+// shed closes a connection if it still waits for its client as it did. What it holds
+// without its requests is free at once.
 func (c *conn) shed(class waitClass) bool {
-	if now, _ := c.waitsFor(); now != class || class == waitsForServer {
+	if now := c.waitsFor(time.Now()); now.class != class || class == waitsForServer {
 		return false
 	}
 	c.Abort()
+	c.mu.Lock()
+	reading := c.reading
+	c.mu.Unlock()
+	reading.Close()
+	c.share.Close()
 	return true
 }
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -22,15 +22,17 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"lagoonstile/answerer"
 	"lagoonstile/rationer"
+	"lagoonstile/sizer"
 )
 
 // Limits are the limits of a listener.
@@ -54,9 +56,20 @@
 	// StallTimeout is how long a caller may read no byte of a response before its
 	// connection is closed.
 	StallTimeout time.Duration
-	// Budget bounds the bytes that the connections of all listeners of the process hold.
-	// If it is nil, they are not bounded.
+	// ReceiveBuffer is the size of a connection's receive buffer, and BodyReceiveBuffer
+	// that while it receives a large body, if the budget has room to spare. The value 0
+	// means that of DefaultLimits.
+	ReceiveBuffer, BodyReceiveBuffer sizer.Size
+	// Backlog is how many connections the kernel completes before they are accepted. The
+	// value 0 means the limit of the operating system.
+	Backlog int
+	// Budget bounds the bytes that connections hold, with their receive buffers. If it is
+	// nil, they are not bounded.
 	Budget *rationer.Budget
+	// HandlerBytes is what the handler takes of the budget for each request that it
+	// serves, beyond what the request holds: buffers, and those of connections that it
+	// opens.
+	HandlerBytes int64
 	// Log receives a line for what is refused and closed. If it is nil, there are none.
 	Log *slog.Logger
 }
@@ -70,6 +83,9 @@
 	HeadTimeout:     30 * time.Second,
 	BodyTimeout:     30 * time.Second,
 	StallTimeout:    time.Minute,
+
+	ReceiveBuffer:     8 << 10,
+	BodyReceiveBuffer: 64 << 10,
 }
 
 // withDefaults returns the limits with the defaults in place of zero values.
@@ -83,6 +99,15 @@
 	if l.BodyTimeout == 0 {
 		l.BodyTimeout = DefaultLimits.BodyTimeout
 	}
+	if l.ReceiveBuffer == 0 {
+		l.ReceiveBuffer = DefaultLimits.ReceiveBuffer
+	}
+	if l.Budget == nil {
+		l.Budget = rationer.New(math.MaxInt64)
+	}
+	if l.BodyReceiveBuffer == 0 {
+		l.BodyReceiveBuffer = DefaultLimits.BodyReceiveBuffer
+	}
 	return l
 }
 
@@ -96,6 +121,7 @@
 	eventReclaimed = "memory-reclaimed"
 	eventShed      = "connection-shed"
 	eventNoRoom    = "connection-refused"
+	eventBodyLimit = "body-limit-above-memory"
 )
 
 // noteInterval is the shortest time between two lines about the same event.
@@ -121,7 +147,7 @@
 	// notes counts the events that were not logged yet, by what they are about.
 	notesMu sync.Mutex
 	notes   map[noteKey]*note
-	// shed counts the connections closed for want of descriptors.
+	// shed counts the connections closed or refused for want of descriptors or memory.
 	shed atomic.Int64
 }
 
@@ -139,31 +165,21 @@
 
 // Listen starts a listener on an IP:port. Port 0 selects a free port.
 func Listen(address string, limits Limits, handler http.Handler) (*Listener, error) {
-	config := net.ListenConfig{Control: limitReceiveBuffer}
+	limits = limits.withDefaults()
+	config := net.ListenConfig{Control: limits.ReceiveBuffer.Control}
 	tcp, err := config.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
-	limits = limits.withDefaults()
+	sizer.SetBacklog(tcp, limits.Backlog)
 	l := &Listener{limits: limits, handler: handler, tcp: tcp, conns: make(map[*conn]struct{}), notes: make(map[noteKey]*note)}
 	l.current.Store(&limits)
+	l.checkBodyLimit(limits.MaxRequestBytes)
 	l.readers.Add(1)
 	go l.accept()
 	return l, nil
 }
 
-// receiveBufferBytes bounds what the kernel receives for a connection that is not read.
-// It counts as memory of the process.
-const receiveBufferBytes = 128 << 10
-
-// limitReceiveBuffer sets the receive buffer of a listening socket, which its
-// connections inherit. Where that is not possible, that of the kernel stays.
-func limitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBufferBytes)
-	})
-}
-
 // Margins of SetRequestLimits, since clients may count otherwise than the listener.
 const (
 	headMargin     = 4 << 10
@@ -184,7 +200,17 @@
 	if headTime > 0 {
 		limits.HeadTimeout = headTime + headTimeMargin
 	}
-	l.current.Store(&limits)
+	if previous := l.current.Swap(&limits); previous.MaxRequestBytes != limits.MaxRequestBytes {
+		l.checkBodyLimit(limits.MaxRequestBytes)
+	}
+}
+
+// checkBodyLimit logs that a limit for bodies is more than the budget can grant. Bodies
+// between the two are refused for want of memory.
+func (l *Listener) checkBodyLimit(limit int) {
+	if most := l.limits.Budget.LargestTake(); int64(limit) > most && l.limits.Log != nil {
+		l.limits.Log.Warn(eventBodyLimit, "address", l.Address(), "body-limit-bytes", limit, "largest-body-bytes", most)
+	}
 }
 
 // Address returns the IP:port that the listener accepts connections on.
@@ -252,13 +278,14 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		if !l.makeRoom() {
+		c := newConn(tcp, l)
+		if !l.admit(c) {
 			l.shed.Add(1)
-			l.note(eventNoRoom, "descriptors")
-			_ = tcp.Close()
+			l.note(eventNoRoom, l.shortage())
+			_ = c.Close()
+			c.share.Close()
 			continue
 		}
-		c := newConn(tcp, l)
 		if !l.add(c) {
 			_ = c.Close()
 			return
@@ -273,38 +300,83 @@
 	}
 }
 
-// makeRoom closes, if there are as many connections as allowed, the one that has
-// waited longest for its client: an idle one or, if there is none, one whose client
-// does not complete a request or, if there is none, one whose client does not read. It
-// returns false if there is none.
-func (l *Listener) makeRoom() bool {
-	if l.limits.MaxConnections == 0 {
-		return true
+// admit takes what a connection holds from the budget. If that or a descriptor is
+// missing, it closes connections that wait for their clients, or waits until they have
+// had a chance to send something. It returns false if there is no such connection.
+func (l *Listener) admit(c *conn) bool {
+	for end := time.Now().Add(maxAdmitTime); l.full() || !c.share.TryTake(connBytes+l.limits.ReceiveBuffer.Bytes()); {
+		closed, waiting := l.makeRoom()
+		switch {
+		case closed > 0:
+		case waiting == 0 || time.Now().After(end):
+			return false
+		default:
+			time.Sleep(acceptRetryDelay)
+		}
 	}
+	return true
+}
+
+// Times of connections that wait for their clients.
+const (
+	// minShedTime is how long a connection may wait for its client before it is closed to
+	// make room.
+	minShedTime = 100 * time.Millisecond
+	// maxAdmitTime is how long a new connection waits for that.
+	maxAdmitTime = 500 * time.Millisecond
+)
+
+// full reports whether there are as many connections as allowed.
+func (l *Listener) full() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) < l.limits.MaxConnections {
-		return true
+	return l.limits.MaxConnections > 0 && len(l.conns) >= l.limits.MaxConnections
+}
+
+// shortage returns what a connection is refused or closed for want of.
+func (l *Listener) shortage() string {
+	if l.full() {
+		return "descriptors"
 	}
-	var longest *conn
-	var longestSince time.Time
-	longestClass := waitsForServer
+	return "memory"
+}
+
+// shedPart is the part of the connections, as a divisor, that makeRoom closes at a time,
+// but at least one. To choose them costs a look at all.
+const shedPart = 64
+
+// makeRoom closes the connections that hold most and have waited longest for their
+// clients, in the order of waitClass. It returns how many it has closed, and how many
+// others wait for their clients.
+func (l *Listener) makeRoom() (closed, waiting int) {
+	shortage := l.shortage()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	var candidates []wait
 	for c := range l.conns {
-		class, since := c.waitsFor()
-		if class < longestClass || class == longestClass && since.Before(longestSince) {
-			longest, longestClass, longestSince = c, class, since
+		if w := c.waitsFor(now); w.class != waitsForServer {
+			candidates = append(candidates, w)
 		}
 	}
-	if longest == nil || !longest.shed(longestClass) {
-		return false
+	slices.SortFunc(candidates, compareWaits)
+	for _, w := range candidates {
+		// Of those whose clients get on, no more are closed than needed.
+		if closed > len(l.conns)/shedPart || closed > 0 && w.class == waitsForProgress {
+			break
+		}
+		if w.behind >= minShedTime && w.conn.shed(w.class) {
+			delete(l.conns, w.conn)
+			l.shed.Add(1)
+			l.note(eventShed, shortage)
+			closed++
+		}
 	}
-	delete(l.conns, longest)
-	l.shed.Add(1)
-	l.note(eventShed, "descriptors")
-	return true
+	return closed, len(candidates) - closed
 }
 
-// Shed returns how many connections were closed or refused for want of descriptors.
+// Shed returns how many connections were closed or refused for want of descriptors or
+// memory.
 func (l *Listener) Shed() int64 { return l.shed.Load() }
 
 // note logs an event, at most once in noteInterval, with the number of times that it
@@ -326,7 +398,8 @@
 		return
 	}
 	usage := l.limits.Budget.Usage()
-	l.limits.Log.Warn(event, "about", about, "count", n.count, "address", l.Address(), "held-bytes", usage.HeldBytes, "limit-bytes", usage.LimitBytes)
+	l.limits.Log.Warn(event, "about", about, "count", n.count, "address", l.Address(),
+		"held-bytes", usage.HeldBytes, "limit-bytes", usage.LimitBytes, "held", usage)
 	n.logged, n.count = now, 0
 }
 
--- a/listener/request.go
+++ b/listener/request.go
@@ -16,6 +16,7 @@
 
 	"lagoonstile/answerer"
 	"lagoonstile/rationer"
+	"lagoonstile/sizer"
 )
 
 // Sizes of what is read of a request.
@@ -25,10 +26,13 @@
 	// maxEmptyLines is how many empty lines are skipped before a request (RFC 9112,
 	// section 2.2).
 	maxEmptyLines = 4
-	// servingBytes is what a request in flight takes of the budget: goroutines, the
-	// buffers of an exchange with a server, its head, and a body of smallBodyBytes.
-	servingBytes   = 32 << 10
+	// servingBytes is what a request in flight takes of the budget: its head, a body of
+	// smallBodyBytes, and the goroutine that serves it.
+	servingBytes   = 16 << 10
 	smallBodyBytes = 8 << 10
+	// enlargingBytes is the size of a body from which a connection gets a larger receive
+	// buffer.
+	enlargingBytes = 64 << 10
 	// minPieceBytes and maxPieceBytes are the sizes of the pieces in which a body of
 	// unknown length is held. They double from piece to piece.
 	minPieceBytes = 4 << 10
@@ -96,6 +100,9 @@
 	return bytes.Join(pieces, nil), err
 }
 
+// newBody returns a body that consists of the pieces.
+func newBody(pieces ...[]byte) *Body { return &Body{pieces: pieces, unread: slices.Clone(pieces)} }
+
 // parsers holds the readers that heads are parsed through.
 var parsers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
 
@@ -216,7 +223,7 @@
 		}
 		// The head is held as bytes and, at its end, as text.
 		if scanned == len(c.buffer) && !share.Take(c.ctx, int64(2*len(c.buffer))) {
-			return nil, &answerer.Failure{Kind: answerer.KindOverloaded, RetryAfter: busyRetryAfter}
+			return nil, busy()
 		}
 		if deadline.IsZero() {
 			deadline = time.Now().Add(limits.HeadTimeout)
@@ -251,7 +258,7 @@
 func (c *conn) readFailure(err error) error {
 	switch {
 	case c.mustGiveUp():
-		return &answerer.Failure{Kind: answerer.KindOverloaded, RetryAfter: busyRetryAfter}
+		return busy()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &answerer.Failure{Kind: answerer.KindTimeout}
 	}
@@ -360,11 +367,21 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Body{pieces: pieces, unread: slices.Clone(pieces)}, nil
+	return newBody(pieces...), nil
+}
+
+// enlarge gives the connection the receive buffer for bodies, if the budget has room to
+// spare.
+func (c *conn) enlarge() {
+	limits := c.listener.limits
+	c.enlarged = c.enlarged || sizer.Enlarge(c.Conn, limits.ReceiveBuffer, limits.BodyReceiveBuffer, c.share)
 }
 
 // readLength reads a body of known length.
 func (c *conn) readLength(share *rationer.Share, length int64) ([][]byte, error) {
+	if length >= enlargingBytes {
+		c.enlarge()
+	}
 	body := make([]byte, length)
 	n := copy(body, c.in)
 	c.in = c.in[n:]
@@ -437,7 +454,10 @@
 	var total int64
 	for size := minPieceBytes; ; size = min(2*size, maxPieceBytes) {
 		if !share.Take(c.ctx, int64(size)) {
-			return nil, &answerer.Failure{Kind: answerer.KindOverloaded, RetryAfter: busyRetryAfter}
+			return nil, busy()
+		}
+		if size >= enlargingBytes {
+			c.enlarge()
 		}
 		piece := make([]byte, size)
 		n, err := io.ReadFull(source, piece)
--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -11,7 +11,7 @@
 func revocable(t *testing.T, b *Budget, n int64, phase Phase, behind time.Duration) (*Share, <-chan Phase) {
 	t.Helper()
 	revoked := make(chan Phase, 1)
-	s := b.NewShare(func(p Phase) { revoked <- p })
+	s := b.NewShare(Request, func(p Phase) { revoked <- p })
 	if !s.Take(context.Background(), n) {
 		t.Fatalf("a take of %d bytes was refused", n)
 	}
@@ -39,7 +39,7 @@
 		}
 		worst.Close()
 	}()
-	s := b.NewShare(nil)
+	s := b.NewShare(Request, nil)
 	if !s.Take(context.Background(), 8*mib) {
 		t.Error("a take was refused although a share could be revoked")
 	}
@@ -61,7 +61,7 @@
 	b := New(1 << 20)
 	_, working := revocable(t, b, 700<<10, Working, time.Hour)
 	_, idle := revocable(t, b, 100<<10, Idle, time.Hour)
-	s := b.NewShare(nil)
+	s := b.NewShare(Request, nil)
 	if s.Take(context.Background(), 800<<10) {
 		t.Error("a take over the limit was granted")
 	}
@@ -78,7 +78,7 @@
 // small ones, and that what was taken is there again after Close.
 func TestSmallTakesKeepTheirPart(t *testing.T) {
 	b := New(1 << 20)
-	large, small := b.NewShare(nil), b.NewShare(nil)
+	large, small := b.NewShare(Request, nil), b.NewShare(Request, nil)
 	for large.TryTake(largeBytes) {
 	}
 	if !small.TryTake(largeBytes - 1) {
@@ -119,7 +119,7 @@
 // may go on reading after its request has ended.
 func TestClosedShareTakesNothing(t *testing.T) {
 	b := New(1 << 20)
-	share := b.NewShare(func(Phase) {})
+	share := b.NewShare(Request, func(Phase) {})
 	if !share.TryTake(100) {
 		t.Fatal("the first take was refused")
 	}
--- a/relayer/attempt.go
+++ b/relayer/attempt.go
@@ -15,6 +15,7 @@
 	"lagoonstile/exchanger"
 	"lagoonstile/logger"
 	"lagoonstile/quarantiner"
+	"lagoonstile/rationer"
 	"lagoonstile/steerer"
 )
 
@@ -149,10 +150,16 @@
 	if relay.attempts >= maxAttempts || relay.quarantined() || time.Until(relay.req.deadline) < minAttemptTime {
 		return
 	}
-	if relay.relayer.window(relay.req.service).Take(time.Now(), relay.relayer.RetryBudget(), relay.relayer.Instances()) {
-		relay.relayer.Log.Info("hedged", logger.RequestKey, relay.req.id, "service", relay.req.service)
-		relay.start(ctx, true)
+	share := rationer.FromContext(ctx)
+	if !share.TryTake(exchanger.ExchangeBytes) {
+		return
 	}
+	if !relay.relayer.window(relay.req.service).Take(time.Now(), relay.relayer.RetryBudget(), relay.relayer.Instances()) {
+		share.Return(exchanger.ExchangeBytes)
+		return
+	}
+	relay.relayer.Log.Info("hedged", logger.RequestKey, relay.req.id, "service", relay.req.service)
+	relay.start(ctx, true)
 }
 
 var errClientDisconnected = errors.New("client disconnected")
--- a/runner/instance.go
+++ b/runner/instance.go
@@ -24,6 +24,7 @@
 	"lagoonstile/controller"
 	"lagoonstile/deduplicator"
 	"lagoonstile/dispatcher"
+	"lagoonstile/exchanger"
 	"lagoonstile/forwarder"
 	"lagoonstile/linker"
 	"lagoonstile/listener"
@@ -60,7 +61,8 @@
 	recorder  *recorder.Recorder
 	gate      *admitter.Gate
 
-	// budget bounds the bytes that both listeners hold.
+	allocation allocation
+	// budget bounds the bytes that are held for callers.
 	budget         *rationer.Budget
 	callerListener *listener.Listener
 	adminListener  *listener.Listener
@@ -93,7 +95,10 @@
 		gate:         admitter.New(settings.MaxInFlight, scheduler.DefaultShares),
 
 		drainRequested: make(chan struct{}),
+
+		allocation: Resources{MemoryBytes: settings.MemoryBytes, Descriptors: settings.Descriptors}.allocate(),
 	}
+	i.budget = rationer.New(i.allocation.callerBudget)
 	i.suspects = &instanceSuspects{instance: i}
 	i.peers = &peerExchange{instance: i, states: make(map[lagoonstile.InstanceID]*peerState)}
 	// The instance list does not tell whether the whole fleet starts.
@@ -140,14 +145,12 @@
 	if i.peers.linker, err = linker.Listen(i.settings.PeerAddress, i.self.Instance, i.self.Incarnation, i.peers, i.log); err != nil {
 		return fmt.Errorf("peers: %w", err)
 	}
-	resources := Resources{MemoryBytes: i.settings.MemoryBytes, Descriptors: i.settings.Descriptors}
-	i.budget = resources.budget()
-	adminLimits := resources.apply(i.settings.Limits, otherPart, i.budget, i.log)
+	adminLimits := i.allocation.sideLimits(i.settings.Limits, RoleOperators, i.log)
 	if i.adminListener, err = listener.Listen(i.settings.AdminAddress, adminLimits, i.adminHandler()); err != nil {
 		i.peers.linker.Close()
 		return fmt.Errorf("admin: %w", err)
 	}
-	callerLimits := resources.apply(i.settings.Limits, callerPart, i.budget, i.log)
+	callerLimits := i.allocation.callerLimits(i.settings.Limits, exchanger.ExchangeBytes, i.budget, i.log)
 	if i.callerListener, err = listener.Listen(i.settings.CallerAddress, callerLimits, i.callerHandler()); err != nil {
 		i.peers.linker.Close()
 		i.adminListener.Close()
--- a/runner/node.go
+++ b/runner/node.go
@@ -83,14 +83,16 @@
 	log         *slog.Logger
 	incarnation lagoonstile.Incarnation
 
-	table     atomic.Pointer[router.PlanTable]
-	allocator *allocator.Allocator
-	relayer   *relayer.Relayer
-	recorder  *recorder.Recorder
-	suspects  *nodeSuspects
-	quotas    *quotas
-	messenger *messenger.Messenger
-	// budget bounds the bytes that all listeners hold.
+	table      atomic.Pointer[router.PlanTable]
+	allocator  *allocator.Allocator
+	relayer    *relayer.Relayer
+	recorder   *recorder.Recorder
+	suspects   *nodeSuspects
+	quotas     *quotas
+	messenger  *messenger.Messenger
+	allocation allocation
+	// budget bounds the bytes that are held for callers. Other listeners have budgets of
+	// their own.
 	budget         *rationer.Budget
 	callerListener *listener.Listener
 	extraListeners []*listener.Listener
@@ -128,9 +130,10 @@
 		recorder:    recorder.New(),
 		peers:       make(map[lagoonstile.InstanceID]*nodePeer),
 		partition:   &partitioner.Partition{},
-		budget:      settings.Resources.budget(),
+		allocation:  settings.Resources.allocate(),
 		news:        peerNews{changed: make(chan struct{})},
 	}
+	n.budget = rationer.New(n.allocation.callerBudget)
 	n.offsets.Store(&nodeOffsets{})
 	n.SetRetryBudget(settings.RetryBudget)
 	n.suspects = &nodeSuspects{node: n, tracker: quarantiner.Tracker{CrashThreshold: nodeCrashThreshold}}
@@ -157,7 +160,7 @@
 	if n.messenger, err = messenger.Listen(settings.PeerAddress, n, n, n.log); err != nil {
 		return nil, err
 	}
-	if n.callerListener, err = listener.Listen(settings.CallerAddress, settings.Resources.apply(settings.Limits, callerPart, n.budget, n.log), n.relayer); err != nil {
+	if n.callerListener, err = listener.Listen(settings.CallerAddress, n.allocation.callerLimits(settings.Limits, exchanger.ExchangeBytes, n.budget, n.log), n.relayer); err != nil {
 		n.messenger.Close()
 		return nil, fmt.Errorf("callers: %w", err)
 	}
@@ -201,9 +204,10 @@
 		"failing", fmt.Sprintf("%.2f", change.FailureProbability), "good", change.Good, "bad", change.Bad)
 }
 
-// AddListener opens an additional listener, which is closed when the node stops.
-func (n *Node) AddListener(address string, handler http.Handler) error {
-	l, err := listener.Listen(address, n.settings.Resources.apply(n.settings.Limits, otherPart, n.budget, n.log), handler)
+// AddListener opens an additional listener, which is closed when the node stops. The role
+// decides how much memory its clients may use, which no other listener uses.
+func (n *Node) AddListener(address string, role ListenerRole, handler http.Handler) error {
+	l, err := listener.Listen(address, n.allocation.sideLimits(n.settings.Limits, role, n.log), handler)
 	if err != nil {
 		return err
 	}
--- a/runner/resources.go
+++ b/runner/resources.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"fmt"
 	"log/slog"
 	"runtime/debug"
 	"syscall"
@@ -22,60 +23,160 @@
 // DefaultMemoryBytes is the memory that a process uses if nothing else is set.
 const DefaultMemoryBytes = 1 << 30
 
-// Parts of the resources.
+// What a process needs besides its budgets.
 const (
-	// budgetPart is the part of the memory that connections and requests may hold, as a
-	// divisor. The rest is for garbage that was not collected yet and for all else.
-	budgetPart = 2
-	// outsideBytes is memory of the process that the runtime does not count, such as
-	// the program itself.
-	outsideBytes = 16 << 20
+	// programBytes is memory that the runtime does not count, such as the program.
+	programBytes = 16 << 20
+	// stateBytes and statePart, a divisor of the memory, are for the configuration, the
+	// servers, the members and all else that does not grow with clients.
+	stateBytes = 8 << 20
+	statePart  = 32
+	// garbagePart is the part of the memory, as a divisor, that stays free for garbage
+	// when all budgets are used up.
+	garbagePart = 16
+	// queuePart is the part of the memory, as a divisor, that connections may hold which
+	// no listener has accepted yet. Half of them are those of callers.
+	queuePart = 32
+	// fixedSocketBytes are for the sockets to the store and to peers.
+	fixedSocketBytes = 2 << 20
+)
+
+// ListenerRole is what a listener that is not for callers is for.
+type ListenerRole string
+
+// The roles of listeners.
+const (
+	RolePeers     ListenerRole = "peers"
+	RoleDirectory ListenerRole = "directory"
+	RoleReadiness ListenerRole = "readiness"
+	RoleOperators ListenerRole = "operators"
+)
+
+// budgetBytes returns the size of the budget of a listener in a process with so much
+// memory.
+func (r ListenerRole) budgetBytes(memory int64) int64 {
+	switch r {
+	case RolePeers:
+		return memory / 32
+	case RoleDirectory:
+		return memory / 64
+	default:
+		return memory / 128
+	}
+}
+
+// Parts of the resources that connections and requests use.
+const (
+	// sideParts is the part of the memory, of sideWhole, that is for all but callers: for
+	// other listeners, and for connections to servers that are kept without a request.
+	sideParts = 7
+	sideWhole = 128
+	// idlePart is the part for kept connections, as a divisor.
+	idlePart = 64
+	// kernelPart is the largest part of a budget, as a divisor, that receive buffers take.
+	// Each price consists of at least as many bytes of the process as of the kernel.
+	kernelPart = 2
+	// minBudgetBytes is the least budget for callers.
+	minBudgetBytes = 4 << 20
 	// keptDescriptors are kept for files, the store, peers and readiness checks.
 	keptDescriptors = 264
-	// minConnections is the least number of connections that a listener accepts.
-	minConnections = 16
-	// callerPart and otherPart are the parts of the descriptors that the connections of
-	// callers, and those of any other listener, may use, as divisors. A request of a
-	// caller needs another descriptor for its server.
-	callerPart = 2
-	otherPart  = 16
+	// minCallerConnections and minSideConnections are the least numbers of connections
+	// that a listener accepts, and minBacklog the least number that wait to be accepted.
+	minCallerConnections = 16
+	minSideConnections   = 8
+	minBacklog           = 16
+)
+
+// The parts of the descriptors, of descriptorWhole, that the connections of callers and
+// those of any other listener may use. Servers need as many as callers.
+const (
+	callerDescriptors = 32
+	sideDescriptors   = 5
+	descriptorWhole   = 80
 )
 
-// budget returns the budget for what the process holds for its clients and servers.
-func (r Resources) budget() *rationer.Budget {
-	memory := r.MemoryBytes
-	if memory == 0 {
-		memory = DefaultMemoryBytes
+// allocation divides the resources of a process. Budgets, the receive buffers outside of
+// them, the state, garbage and the program together do not exceed its memory.
+type allocation struct {
+	memory int64
+	// callerBudget is the size of the budget for callers, and idleBudget that of the
+	// connections to servers without a request, in bytes.
+	callerBudget, idleBudget int64
+	// callerConnections and sideConnections limit the connections of a listener. They are
+	// 0 if the number of descriptors is not known.
+	callerConnections, sideConnections int
+	// callerBacklog and sideBacklog limit the connections that wait to be accepted.
+	callerBacklog, sideBacklog int
+	// runtimeBytes is the memory for the runtime: its heap, stacks and garbage.
+	runtimeBytes int64
+}
+
+// allocate divides the resources.
+func (r Resources) allocate() allocation {
+	a := allocation{memory: r.MemoryBytes}
+	if a.memory == 0 {
+		a.memory = DefaultMemoryBytes
 	}
-	return rationer.New(memory / budgetPart)
+	queues := a.memory / queuePart
+	outside := programBytes + queues + fixedSocketBytes
+	free := a.memory - outside - stateBytes - a.memory/statePart - a.memory/garbagePart
+	// Receive buffers come out of what the runtime would use otherwise.
+	budgets := free * kernelPart / (kernelPart + 1)
+	side := a.memory * sideParts / sideWhole
+	a.callerBudget = max(budgets-side, minBudgetBytes)
+	a.idleBudget = a.memory / idlePart
+	a.runtimeBytes = a.memory - outside - (a.callerBudget+side)/kernelPart
+	a.callerBacklog = backlog(queues / 2)
+	a.sideBacklog = backlog(queues / 2 / maxSideListeners)
+	if descriptors := r.descriptors() - keptDescriptors; descriptors > -keptDescriptors {
+		a.callerConnections = max(descriptors*callerDescriptors/descriptorWhole, minCallerConnections)
+		a.sideConnections = max(descriptors*sideDescriptors/descriptorWhole, minSideConnections)
+	}
+	return a
+}
+
+// maxSideListeners is the number of listeners besides that for callers.
+const maxSideListeners = 3
+
+// backlog returns how many connections may wait to be accepted in so many bytes.
+func backlog(bytes int64) int {
+	return max(int(bytes/listener.DefaultLimits.ReceiveBuffer.Bytes()), minBacklog)
 }
 
 // SetMemoryLimit makes the garbage collector keep the process within its memory, if it
 // is set. It applies to the whole process.
 func (r Resources) SetMemoryLimit() {
 	if r.MemoryBytes > 0 {
-		debug.SetMemoryLimit(max(r.MemoryBytes*8/10-outsideBytes, r.MemoryBytes/2))
+		debug.SetMemoryLimit(r.allocate().runtimeBytes)
 	}
 }
 
-// connections returns the number of connections that a listener may have, if it may
-// use the given part of the descriptors. It returns 0, for no limit, if the number of
-// descriptors is not known.
-func (r Resources) connections(part int) int {
-	descriptors := r.Descriptors
-	if descriptors == 0 {
-		var limit syscall.Rlimit
-		if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
-			return 0
-		}
-		descriptors = int(min(limit.Cur, 1<<20))
+// descriptors returns the number of descriptors that the process may use, or 0 if it is
+// not known.
+func (r Resources) descriptors() int {
+	if r.Descriptors > 0 {
+		return r.Descriptors
+	}
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil {
+		return 0
 	}
-	return max((descriptors-keptDescriptors)/part, minConnections)
+	return int(min(limit.Cur, 1<<20))
+}
+
+// callerLimits returns the limits of the listener for callers, whose handler takes
+// handlerBytes for each request.
+func (a allocation) callerLimits(limits listener.Limits, handlerBytes int64, budget *rationer.Budget, log *slog.Logger) listener.Limits {
+	limits.MaxConnections, limits.Backlog = a.callerConnections, a.callerBacklog
+	limits.HandlerBytes, limits.Budget, limits.Log = handlerBytes, budget, log
+	return limits
 }
 
-// apply returns the limits of a listener that uses the given part of the descriptors.
-func (r Resources) apply(limits listener.Limits, part int, budget *rationer.Budget, log *slog.Logger) listener.Limits {
-	limits.MaxConnections, limits.Budget, limits.Log = r.connections(part), budget, log
+// sideLimits returns the limits of any other listener, which has a budget of its own.
+func (a allocation) sideLimits(limits listener.Limits, role ListenerRole, log *slog.Logger) listener.Limits {
+	limits.MaxConnections, limits.Backlog = a.sideConnections, a.sideBacklog
+	limits.Budget, limits.Log = rationer.New(role.budgetBytes(a.memory)), log
+	limits.MaxRequestBytes = int(min(int64(limits.MaxRequestBytes), limits.Budget.LargestTake()))
 	return limits
 }
 
@@ -86,4 +187,7 @@
 	gauges.SetGauge("budget.limit-bytes", usage.LimitBytes)
 	gauges.SetGauge("budget.refused", usage.Refused)
 	gauges.SetGauge("budget.revoked", usage.Revoked)
+	for _, held := range rationer.Holdings() {
+		gauges.SetGauge(fmt.Sprintf("budget.%s-%s-bytes", held.Kind, held.Phase), usage.Held[held])
+	}
 }
--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -9,6 +9,8 @@
 	"io"
 	"net"
 	"syscall"
+
+	"lagoonstile/rationer"
 )
 
 // Size is the size of a receive buffer in bytes, as it is asked for. The value 0 leaves
@@ -44,6 +46,21 @@
 	}
 }
 
+// enlargedPrice is what a byte of a larger receive buffer takes of a budget. It is 2 since
+// budgets assume that the kernel holds at most half of what they grant.
+const enlargedPrice = 2
+
+// Enlarge gives a connection the receive buffer to in place of from, if the budget of the
+// share has room to spare for it. It reports whether it did. The share must keep what it
+// took as long as the connection is open, since the kernel may have filled the buffer.
+func Enlarge(conn io.Reader, from, to Size, share *rationer.Share) bool {
+	if to <= from || !share.TakeSpare(enlargedPrice*(to.Bytes()-from.Bytes())) {
+		return false
+	}
+	to.Set(conn)
+	return true
+}
+
 // SetBacklog sets how many connections the kernel completes for a listener before they
 // are accepted. Where it cannot be set, that of the kernel stays.
 func SetBacklog(l net.Listener, backlog int) {
