Count the copies of bodies, the answers and the keys of the daemon

Callers saw nothing yet: on the daemon's path the process held more than its budget knew of, so that the memory it was given was not a bound. Cause: a body in chunks was copied into one piece beside its pieces; 64 KiB of each answer were read before any of it was passed on; idle connections to servers were not limited together; and the table of order keys and the stored answers, up to 42 MB, were outside of the budget. TestCopyOfBodyIsTakenFromTheBudget failed before (a body for whose copy there is no room was served). Change: the copy is taken from the budget, and the pieces are dropped after it; a request and a hedge pay for their part of the answer; idle connections have a part of the memory; keys and stored answers take at most an eighth of the budget each, which is below the defaults only for less than some 420 MB.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -136,7 +136,7 @@
 		httpReq.ContentLength = int64(len(req.Body))
 	}
 	kind := transportKind{maxConns: req.Entry.Service.ConnectionsPerServer, keepAlive: req.Idempotent}
-	res, err := f.transports.get(kind, f.ResponseLimits).RoundTrip(httpReq)
+	res, err := f.transports.get(kind, transportLimits{f.ResponseLimits, f.MaxIdleConnections}).RoundTrip(httpReq)
 	if err != nil {
 		return nil, err
 	}
--- a/forwarder/execution.go
+++ b/forwarder/execution.go
@@ -8,6 +8,7 @@
 	"lagoonstile/answerer"
 	"lagoonstile/picker"
 	"lagoonstile/quarantiner"
+	"lagoonstile/rationer"
 )
 
 // maxAttempts limits the attempts of one request, hedges included. The range
@@ -169,9 +170,15 @@
 	if !exec.req.Idempotent || exec.inFlight != 1 || len(exec.tried) >= maxAttempts || exec.admission != quarantiner.Unrestricted {
 		return
 	}
-	if exec.req.Entry.Budget.Take() && exec.startAttempt(ctx) {
-		exec.recordRetry(true)
+	share := rationer.FromContext(ctx)
+	if !share.TryTake(RequestBytes) {
+		return
+	}
+	if !exec.req.Entry.Budget.Take() || !exec.startAttempt(ctx) {
+		share.Return(RequestBytes)
+		return
 	}
+	exec.recordRetry(true)
 }
 
 // startAttempt starts an attempt on a server that has not been tried yet. It
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -100,6 +100,9 @@
 	// ResponseLimits bound the responses of servers. The zero value means the
 	// defaults.
 	ResponseLimits exchanger.Limits
+	// MaxIdleConnections limits the connections to servers that are kept without a
+	// request. The value 0 means no limit.
+	MaxIdleConnections int
 
 	transports transports
 	// drainEnd is when a drain ends, or nil while there is none.
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -99,7 +99,11 @@
 		return req, failure
 	}
 	body, err := listener.Bytes(httpReq)
-	if err != nil {
+	var failure *answerer.Failure
+	switch {
+	case errors.As(err, &failure):
+		return req, failure
+	case err != nil:
 		return req, &answerer.Failure{Kind: answerer.KindBadRequest, Cause: err}
 	}
 	req.Body = body
--- a/forwarder/transport.go
+++ b/forwarder/transport.go
@@ -18,8 +18,20 @@
 	// small because there may be thousands of idle connections. Large reads and
 	// writes of bodies bypass the buffers.
 	bufferBytes = 4 << 10
+	// idleConnectionBytes is what a connection without a request takes: its buffers, its
+	// goroutines and its receive buffer.
+	idleConnectionBytes = 64 << 10
 )
 
+// RequestBytes is what a Forwarder takes of the budget for each request in flight: an
+// exchange with a server, and the part of the answer that it reads before it passes any of
+// it on.
+var RequestBytes = maxBufferedBody + exchanger.ExchangeBytes
+
+// IdleConnections returns how many connections without a request take no more than so
+// many bytes.
+func IdleConnections(bytes int64) int { return max(int(bytes/idleConnectionBytes), 1) }
+
 // transportKind is what transports differ in.
 type transportKind struct {
 	// maxConns is the maximum number of connections to a server.
@@ -30,6 +42,14 @@
 	keepAlive bool
 }
 
+// transportLimits are limits that all transports have in common.
+type transportLimits struct {
+	responses exchanger.Limits
+	// maxIdle is the maximum number of connections of a transport that have no request in
+	// flight. The value 0 means no limit.
+	maxIdle int
+}
+
 // transports holds one HTTP transport of each kind. The zero value is ready to use.
 type transports struct {
 	mu     sync.Mutex
@@ -37,7 +57,7 @@
 }
 
 // get returns the transport of a kind. The limits must be the same in all calls.
-func (t *transports) get(kind transportKind, limits exchanger.Limits) *http.Transport {
+func (t *transports) get(kind transportKind, limits transportLimits) *http.Transport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.byKind == nil {
@@ -59,16 +79,17 @@
 }
 
 // newTransport returns a transport that does not decompress bodies.
-func newTransport(kind transportKind, limits exchanger.Limits) *http.Transport {
+func newTransport(kind transportKind, limits transportLimits) *http.Transport {
 	dialer := net.Dialer{Timeout: connectTimeout, Control: exchanger.ReceiveBuffer.Control}
 	return &http.Transport{
 		DialContext:            dialer.DialContext,
 		DisableCompression:     true,
 		DisableKeepAlives:      !kind.keepAlive,
 		MaxConnsPerHost:        kind.maxConns,
+		MaxIdleConns:           limits.maxIdle,
 		MaxIdleConnsPerHost:    kind.maxConns,
 		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: limits.WithDefaults().MaxHeadBytes,
+		MaxResponseHeaderBytes: limits.responses.WithDefaults().MaxHeadBytes,
 		ReadBufferSize:         bufferBytes,
 		WriteBufferSize:        bufferBytes,
 	}
--- a/listener/request.go
+++ b/listener/request.go
@@ -87,8 +87,8 @@
 	return [][]byte{data}, err
 }
 
-// Bytes returns the body of a request in one piece. It copies a body of several
-// pieces.
+// Bytes returns the body of a request in one piece. It copies a body of several pieces,
+// which are not kept. The error is an answerer.Failure if there is no memory for that.
 func Bytes(req *http.Request) ([]byte, error) {
 	pieces, err := Pieces(req)
 	switch len(pieces) {
@@ -97,7 +97,18 @@
 	case 1:
 		return pieces[0], err
 	}
-	return bytes.Join(pieces, nil), err
+	size := int64(0)
+	for _, piece := range pieces {
+		size += int64(len(piece))
+	}
+	share := rationer.FromContext(req.Context())
+	if !share.Take(req.Context(), size) {
+		return nil, busy()
+	}
+	defer share.Return(size) // The pieces become garbage.
+	joined := bytes.Join(pieces, nil)
+	req.Body = newBody(joined)
+	return joined, nil
 }
 
 // newBody returns a body that consists of the pieces.
--- a/listener/room_test.go
+++ b/listener/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"lagoonstile/answerer"
 	"lagoonstile/rationer"
 )
 
@@ -192,3 +194,40 @@
 		}
 	}
 }
+
+// TestCopyOfBodyIsTakenFromTheBudget sends bodies in chunks, which the handler asks for in
+// one piece. It must get a Failure if there is no memory for the copy, and what the copy
+// took must be returned.
+func TestCopyOfBodyIsTakenFromTheBudget(t *testing.T) {
+	const body = 600_000
+	post := fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", body, strings.Repeat("x", body))
+	tests := []struct {
+		name   string
+		budget int64
+		want   int
+	}{
+		{"room for both", 4 << 20, http.StatusOK},
+		{"room for one", 1700 << 10, http.StatusServiceUnavailable},
+	}
+	for _, test := range tests {
+		var after int64
+		handler := http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			data, err := Bytes(req)
+			var failure *answerer.Failure
+			switch {
+			case errors.As(err, &failure):
+				failure.Write(w, "")
+			case len(data) != body:
+				t.Errorf("%s: %d bytes, want %d", test.name, len(data), body)
+			}
+			after = rationer.FromContext(req.Context()).Standing(time.Now()).HeldBytes
+		})
+		l := startRoom(t, Limits{}, test.budget, handler)
+		if status := send(t, l, post).status(); status != test.want {
+			t.Errorf("%s: status %d, want %d", test.name, status, test.want)
+		}
+		if after >= 2*body {
+			t.Errorf("%s: %d bytes are held after the copy", test.name, after)
+		}
+	}
+}
--- a/runner/instance.go
+++ b/runner/instance.go
@@ -22,9 +22,7 @@
 	"lagoonstile/admitter"
 	"lagoonstile/connector"
 	"lagoonstile/controller"
-	"lagoonstile/deduplicator"
 	"lagoonstile/dispatcher"
-	"lagoonstile/exchanger"
 	"lagoonstile/forwarder"
 	"lagoonstile/linker"
 	"lagoonstile/listener"
@@ -98,7 +96,7 @@
 
 		allocation: Resources{MemoryBytes: settings.MemoryBytes, Descriptors: settings.Descriptors}.allocate(),
 	}
-	i.budget = rationer.New(i.allocation.callerBudget)
+	i.budget = rationer.New(i.allocation.callerBudget - i.allocation.keyBudget(settings.MaxKeys))
 	i.suspects = &instanceSuspects{instance: i}
 	i.peers = &peerExchange{instance: i, states: make(map[lagoonstile.InstanceID]*peerState)}
 	// The instance list does not tell whether the whole fleet starts.
@@ -114,7 +112,8 @@
 		Recorder:     i.recorder,
 		Log:          i.log,
 
-		ResponseLimits: settings.ResponseLimits,
+		ResponseLimits:     settings.ResponseLimits,
+		MaxIdleConnections: forwarder.IdleConnections(i.allocation.idleBudget),
 	}
 	i.peerSnapshot.Store(&controller.PeerSnapshot{})
 	if err := i.listen(); err != nil {
@@ -138,7 +137,7 @@
 	}
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	i.control = newControl(controller.New(random))
-	limits := deduplicator.Limits{MaxKeys: i.settings.MaxKeys, MaxAnswerBytes: maxAnswerBytes, EpochDuration: epochDuration}
+	limits := i.allocation.keyLimits(i.settings.MaxKeys)
 	i.dispatcher = dispatcher.New(time.Now(), i.self.Instance, i.self.Incarnation, limits, i.forwarder.Run, dispatcherPeers{i.peers})
 	i.forwarder.Orders = i.dispatcher
 	var err error
@@ -150,7 +149,7 @@
 		i.peers.linker.Close()
 		return fmt.Errorf("admin: %w", err)
 	}
-	callerLimits := i.allocation.callerLimits(i.settings.Limits, exchanger.ExchangeBytes, i.budget, i.log)
+	callerLimits := i.allocation.callerLimits(i.settings.Limits, forwarder.RequestBytes, i.budget, i.log)
 	if i.callerListener, err = listener.Listen(i.settings.CallerAddress, callerLimits, i.callerHandler()); err != nil {
 		i.peers.linker.Close()
 		i.adminListener.Close()
--- a/runner/resources.go
+++ b/runner/resources.go
@@ -6,6 +6,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"lagoonstile/deduplicator"
 	"lagoonstile/listener"
 	"lagoonstile/rationer"
 	"lagoonstile/recorder"
@@ -164,6 +165,28 @@
 	return int(min(limit.Cur, 1<<20))
 }
 
+// keyBytes is the size of an order key in the key table, and keyPart the part of the
+// budget for callers, as a divisor, that the keys and the stored answers take each.
+const (
+	keyBytes = 256
+	keyPart  = 8
+)
+
+// keyLimits returns the limits of the table of order keys, which has at most maxKeys.
+func (a allocation) keyLimits(maxKeys int) deduplicator.Limits {
+	return deduplicator.Limits{
+		MaxKeys:        min(maxKeys, int(a.callerBudget/keyPart/keyBytes)),
+		MaxAnswerBytes: int(min(maxAnswerBytes, a.callerBudget/keyPart)),
+		EpochDuration:  epochDuration,
+	}
+}
+
+// keyBudget returns the size in bytes of a full table of order keys.
+func (a allocation) keyBudget(maxKeys int) int64 {
+	limits := a.keyLimits(maxKeys)
+	return int64(limits.MaxKeys)*keyBytes + int64(limits.MaxAnswerBytes)
+}
+
 // callerLimits returns the limits of the listener for callers, whose handler takes
 // handlerBytes for each request.
 func (a allocation) callerLimits(limits listener.Limits, handlerBytes int64, budget *rationer.Budget, log *slog.Logger) listener.Limits {
--- a/runner/resources_test.go
+++ b/runner/resources_test.go
@@ -36,3 +36,26 @@
 		}
 	}
 }
+
+// TestKeyTableIsPartOfTheBudget checks that order keys and stored answers leave most of the
+// budget to callers, whatever the settings say, and that an ordinary instance has room for
+// as many keys as by default.
+func TestKeyTableIsPartOfTheBudget(t *testing.T) {
+	tests := []struct {
+		memory        int64
+		maxKeys, want int
+	}{
+		{64 << 20, 100_000, 8_000},
+		{1 << 30, 100_000, 100_000},
+		{1 << 30, 500, 500},
+	}
+	for _, test := range tests {
+		a := Resources{MemoryBytes: test.memory, Descriptors: 4100}.allocate()
+		if keys := a.keyLimits(test.maxKeys).MaxKeys; keys < test.want || keys > test.maxKeys {
+			t.Errorf("%d bytes, at most %d keys: %d keys, want %d or more", test.memory, test.maxKeys, keys, test.want)
+		}
+		if budget := a.keyBudget(test.maxKeys); budget > a.callerBudget/4 {
+			t.Errorf("%d bytes: the keys take %d of %d bytes", test.memory, budget, a.callerBudget)
+		}
+	}
+}
