Limit the connections of strangers to the listener for peers

Callers saw connections reset: a crowd at the daemon's port for peers ended the process. Cause: the library that reads messages of peers collected up to 16 MiB of a request before anything looked at who had sent it, on any number of connections, with receive buffers of any size. Change: a connection may send 8 KiB before it has become a peer's; there may be 32 such connections, the oldest of which makes room; they are closed when idle for 4 s. Accepted connections have a receive buffer of 64 KiB.

--- a/linker/linker.go
+++ b/linker/linker.go
@@ -31,6 +31,7 @@
 	"lagoonstile/dispatcher"
 	"lagoonstile/encoder"
 	"lagoonstile/gossiper"
+	"lagoonstile/sizer"
 	"lagoonstile/throttler"
 )
 
@@ -121,6 +122,8 @@
 	closed bool
 	// inbound holds the connections that peers dialed.
 	inbound map[*websocket.Conn]struct{}
+
+	handshakes handshakes
 }
 
 // Listen starts to accept connections of peers on an IP:port. No peer is dialed
@@ -135,10 +138,22 @@
 		links:       make(map[lagoonstile.InstanceID]*link),
 		inbound:     make(map[*websocket.Conn]struct{}),
 	}
-	l.server = nbhttp.NewEngine(engineConfig([]string{address}, http.HandlerFunc(l.accept)))
-	l.server.OnOpen(func(net.Conn) { l.opened.Add(1) })
+	serverConfig := engineConfig([]string{address}, http.HandlerFunc(l.accept))
+	serverConfig.KeepaliveTime = handshakeTimeout // Until the upgrade.
+	l.server = nbhttp.NewEngine(serverConfig)
+	l.server.OnOpen(func(conn net.Conn) {
+		l.opened.Add(1)
+		if excess := l.handshakes.open(conn); excess != nil {
+			_ = excess.Close()
+		}
+	})
+	l.server.OnClose(func(conn net.Conn, _ error) { l.handshakes.finish(conn) })
 	l.server.Engine.OnData(func(conn *nbio.Conn, data []byte) {
 		l.opened.Load()
+		if !l.handshakes.receive(conn, len(data)) {
+			_ = conn.Close()
+			return
+		}
 		conn.DataHandler()(conn, data)
 	})
 	if err := l.server.Start(); err != nil {
@@ -156,6 +171,7 @@
 	return nbhttp.Config{
 		Network:                 "tcp",
 		Addrs:                   addresses,
+		Listen:                  listen,
 		Handler:                 handler,
 		ReadLimit:               MaxMessageBytes,
 		MaxWriteBufferSize:      maxQueuedBytes,
@@ -167,6 +183,20 @@
 	}
 }
 
+// receiveBuffer is the size of the receive buffer of an accepted connection.
+const receiveBuffer sizer.Size = 64 << 10
+
+// listen opens the listening socket.
+func listen(network, address string) (net.Listener, error) {
+	config := net.ListenConfig{Control: receiveBuffer.Control}
+	l, err := config.Listen(context.Background(), network, address)
+	if err != nil {
+		return nil, err
+	}
+	sizer.SetBacklog(l, maxHandshakes)
+	return l, nil
+}
+
 // Address returns the IP:port that the linker listens on.
 func (l *Linker) Address() string { return l.server.Addrs[0] }
 
@@ -282,6 +312,7 @@
 		l.log.Warn("peer-not-upgraded", "peer", id, "cause", err)
 		return
 	}
+	l.handshakes.finish(conn.Conn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
