Reserve memory at a peer before an order is sent to it

Callers saw connections reset: an instance that passed on large orders was killed for its memory, and nothing bounded what the one that ran them held. Cause: an order that belongs to another instance was copied into a message, outside of the budget, and the other instance held the message and the order, outside of its own. An order that was not sent is unknown to its caller as before, since an earlier copy may have run. Peers with an older version are not asked, and their orders are taken from the budget on arrival. The test now also sends one order without a crowd, which must be served.

--- a/cmd/standin/crowder/daemon_test.go
+++ b/cmd/standin/crowder/daemon_test.go
@@ -183,6 +183,15 @@
 	const clients = 60
 	instances := startDaemons(t, 2)
 	home := instances[0].homeOf("proxy-2")
+	calm := exchange(instances[0].address, 5*time.Second, func(w io.Writer) error {
+		if err := sendText(w, order(fmt.Sprintf("%s: %s.calm\r\nContent-Length: %d", lagoonstile.HeaderKey, home, crowdBodyBytes)), 1); err != nil {
+			return err
+		}
+		return sendZeros(w, crowdBodyBytes)
+	})
+	if calm != "200 ok" {
+		t.Errorf("an order without a crowd got %q, want 200 ok", calm)
+	}
 	orders := make(chan int, 1)
 	orders <- 0
 	instances[0].crowd(crowdSize(t, clients), func(w io.Writer) error {
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -28,6 +28,7 @@
 	"github.com/lesismal/nbio/nbhttp/websocket"
 
 	"lagoonstile"
+	"lagoonstile/answerer"
 	"lagoonstile/dispatcher"
 	"lagoonstile/encoder"
 	"lagoonstile/gossiper"
@@ -66,19 +67,23 @@
 	Quotas   *throttler.Message    `cbor:"5,keyasint,omitempty"`
 }
 
-// Call is a request to a peer. Exactly one of Order and Page is set.
+// Call is a request to a peer. Exactly one of Order, Page and ReserveBytes is set.
 type Call struct {
 	ID    uint64            `cbor:"1,keyasint"`
 	Order *dispatcher.Order `cbor:"2,keyasint,omitempty"`
 	Page  *dispatcher.Page  `cbor:"3,keyasint,omitempty"`
+	// ReserveBytes asks for room for an order with a body of this size.
+	ReserveBytes int64 `cbor:"4,keyasint,omitempty"`
+	// Reservation is the ID of the call that has reserved room for Order, or 0.
+	Reservation uint64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Response is the response to the call with the same ID.
 type Response struct {
 	ID    uint64            `cbor:"1,keyasint"`
 	Reply *dispatcher.Reply `cbor:"2,keyasint,omitempty"`
-	// RefusalReason is the reason why a page or an unknown call was rejected, or
-	// empty.
+	// RefusalReason is the reason why a page, a reservation or an unknown call was
+	// rejected, or empty.
 	RefusalReason string `cbor:"3,keyasint,omitempty"`
 }
 
@@ -93,6 +98,9 @@
 	HandleSnapshot(snapshot *lagoonstile.Snapshot)
 	// HandleQuotas handles a peer's message about quotas.
 	HandleQuotas(from lagoonstile.InstanceID, message throttler.Message)
+	// ReserveOrder takes the memory for an order with a body of the given size. It
+	// returns the function that returns it, and false if there is not enough.
+	ReserveOrder(bodyBytes int64) (release func(), ok bool)
 	// HandleOrder runs an order and returns the reply. It runs on its own goroutine
 	// and may block until the order ends.
 	HandleOrder(order *dispatcher.Order) dispatcher.Reply
@@ -123,7 +131,8 @@
 	// inbound holds the connections that peers dialed.
 	inbound map[*websocket.Conn]struct{}
 
-	handshakes handshakes
+	handshakes   handshakes
+	reservations reservations
 }
 
 // Listen starts to accept connections of peers on an IP:port. No peer is dialed
@@ -266,6 +275,28 @@
 	return link.call(ctx, call)
 }
 
+// ErrNoRoom is returned if a peer has no memory for an order. The order was not sent.
+var ErrNoRoom = errors.New("peer has no memory for the order")
+
+// CallOrder sends an order to a peer and waits for its reply. It asks the peer for room
+// first if the body is large. After an error other than ErrNotConnected and ErrNoRoom it
+// is not known whether the peer received the order.
+func (l *Linker) CallOrder(ctx context.Context, to lagoonstile.InstanceID, order *dispatcher.Order) (*Response, error) {
+	call := Call{Order: order}
+	if size := int64(len(order.Body)); size > maxUnaskedBytes {
+		response, err := l.Call(ctx, to, Call{ReserveBytes: size})
+		if err != nil {
+			return nil, err
+		}
+		// An instance with an older version gives another reason, and takes all orders.
+		if response.RefusalReason == reasonNoRoom {
+			return nil, fmt.Errorf("instance %s: %w: %d bytes", to, ErrNoRoom, size)
+		}
+		call.Reservation = response.ID
+	}
+	return l.Call(ctx, to, call)
+}
+
 // Close closes all connections and stops listening.
 func (l *Linker) Close() {
 	l.mu.Lock()
@@ -312,6 +343,7 @@
 		l.log.Warn("peer-not-upgraded", "peer", id, "cause", err)
 		return
 	}
+
 	l.handshakes.finish(conn.Conn)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -335,17 +367,24 @@
 	case message.Quotas != nil:
 		l.handler.HandleQuotas(from, *message.Quotas)
 	case message.Call != nil:
-		go l.serveCall(conn, message.Call)
+		go l.serveCall(conn, from, message.Call)
 	}
 }
 
-// serveCall handles a call and sends the response.
-func (l *Linker) serveCall(conn *websocket.Conn, call *Call) {
+// serveCall handles a call of a peer and sends the response.
+func (l *Linker) serveCall(conn *websocket.Conn, from lagoonstile.InstanceID, call *Call) {
 	response := &Response{ID: call.ID}
 	switch {
 	case call.Order != nil:
-		reply := l.handler.HandleOrder(call.Order)
+		reply := l.serveOrder(from, call)
 		response.Reply = &reply
+	case call.ReserveBytes > 0:
+		release, ok := l.handler.ReserveOrder(call.ReserveBytes)
+		if !ok {
+			response.RefusalReason = reasonNoRoom
+			break
+		}
+		l.reservations.add(reservationID{from, call.ID}, release)
 	case call.Page != nil:
 		if err := l.handler.HandlePage(call.Page); err != nil {
 			response.RefusalReason = err.Error()
@@ -358,6 +397,23 @@
 	}
 }
 
+// reasonNoRoom is the reason why a reservation is refused.
+const reasonNoRoom = "no memory for an order of this size"
+
+// serveOrder handles an order of a peer, with the memory that was reserved for it. A peer
+// with an older version reserves none.
+func (l *Linker) serveOrder(from lagoonstile.InstanceID, call *Call) dispatcher.Reply {
+	release := l.reservations.take(reservationID{from, call.Reservation})
+	if release == nil {
+		var ok bool
+		if release, ok = l.handler.ReserveOrder(int64(len(call.Order.Body))); !ok {
+			return dispatcher.Reply{Kind: answerer.KindOverloaded, MayHaveRun: true}
+		}
+	}
+	defer release()
+	return l.handler.HandleOrder(call.Order)
+}
+
 // newUpgrader returns the WebSocket settings of one connection, dialed or accepted.
 // Each message is passed to receive. The connection is closed if a message cannot
 // be decoded.
--- a/linker/linker_test.go
+++ b/linker/linker_test.go
@@ -27,6 +27,8 @@
 
 	mu      sync.Mutex
 	digests []gossiper.Digest
+	// reserved counts the reservations that were not released.
+	reserved int
 	// rejected counts the rejected connections of each instance.
 	rejected map[lagoonstile.InstanceID]int
 }
@@ -64,6 +66,21 @@
 
 func (p *peer) HandleQuotas(lagoonstile.InstanceID, throttler.Message) {}
 
+// ReserveOrder has room for orders of up to 1 MiB.
+func (p *peer) ReserveOrder(bodyBytes int64) (func(), bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if bodyBytes > 1<<20 {
+		return nil, false
+	}
+	p.reserved++
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.reserved--
+	}, true
+}
+
 func (p *peer) HandleOrder(order *dispatcher.Order) dispatcher.Reply {
 	if order.ID == "slow" {
 		time.Sleep(time.Minute)
--- a/runner/peers.go
+++ b/runner/peers.go
@@ -9,9 +9,11 @@
 	"lagoonstile"
 	"lagoonstile/controller"
 	"lagoonstile/dispatcher"
+	"lagoonstile/forwarder"
 	"lagoonstile/gossiper"
 	"lagoonstile/linker"
 	"lagoonstile/quarantiner"
+	"lagoonstile/rationer"
 	"lagoonstile/throttler"
 )
 
@@ -89,6 +91,22 @@
 	return p.instance.dispatcher.Serve(context.Background(), order, table.Entry(order.Service))
 }
 
+// orderCopies is how many times a forwarded order is in memory at either instance: as
+// the message and as the order, or as the order and in the queue of the connection.
+const orderCopies = 2
+
+// ReserveOrder takes the memory for an order that a peer will forward from the budget for
+// callers.
+func (p *peerExchange) ReserveOrder(bodyBytes int64) (release func(), ok bool) {
+	share := p.instance.budget.NewShare(rationer.Request, func(rationer.Phase) {})
+	share.Begin(rationer.Working)
+	if !share.TryTake(orderCopies*bodyBytes + forwarder.RequestBytes) {
+		share.Close()
+		return nil, false
+	}
+	return share.Close, true
+}
+
 // HandlePage stores one page of the keys that a leaving peer hands over.
 func (p *peerExchange) HandlePage(page *dispatcher.Page) error {
 	return p.instance.dispatcher.Receive(time.Now(), *page)
@@ -108,7 +126,13 @@
 	if !ok {
 		return dispatcher.Reply{}, fmt.Errorf("no live instance holds the keys of home %s", home)
 	}
-	response, err := p.linker.Call(ctx, owner, linker.Call{Order: &order})
+	share := rationer.FromContext(ctx)
+	copies := orderCopies * int64(len(order.Body))
+	if !share.Take(ctx, copies) {
+		return dispatcher.Reply{}, fmt.Errorf("no memory to forward an order of %d bytes to instance %s", len(order.Body), owner)
+	}
+	defer share.Return(copies)
+	response, err := p.linker.CallOrder(ctx, owner, &order)
 	if err != nil {
 		return dispatcher.Reply{}, err
 	}
