Fuzz requests without end, and let crowds join the soak of processes

Cause: the fuzz target read bytes that end, and looked at what is held at the end only; crowds were not played beside signals, restarts and changes. Change: FuzzEndlessBytes repeats bytes behind the start of a request and checks before each read that no more is held than the budget, and no more in buffers and bodies than was granted. The count of unread bytes moves to package observer, which both suites use.

--- a/Makefile
+++ b/Makefile
@@ -52,12 +52,14 @@
 	LAGOONSTILE_SOAK=$(SOAK_FOR) LAGOONSTILE_SOAK_SEED=$(SOAK_SEED) go test -race -v -timeout 60m -run TestSoak ./cmd/standin/rehearser
 
 # Runs SOAK_PROCESSES instances as processes on the same stand-ins, with signals and
-# faults, once for each of SOAK_SEEDS.
+# faults, once for each of SOAK_SEEDS. SOAK_CROWD is the number of clients that keep to no
+# limit, for each process; memory and descriptors are then limited and checked.
 SOAK_SEEDS ?= 1
 SOAK_PROCESSES ?= 5
+SOAK_CROWD ?= 0
 soak-processes:
 	for seed in $(SOAK_SEEDS); do \
-		LAGOONSTILE_SOAK=$(SOAK_FOR) LAGOONSTILE_SOAK_SEED=$$seed LAGOONSTILE_SOAK_PROCESSES=$(SOAK_PROCESSES) \
+		LAGOONSTILE_SOAK=$(SOAK_FOR) LAGOONSTILE_SOAK_SEED=$$seed LAGOONSTILE_SOAK_PROCESSES=$(SOAK_PROCESSES) LAGOONSTILE_SOAK_CROWD=$(SOAK_CROWD) \
 		go test -race -count=1 -v -timeout 60m -run TestProcessesUnderFaults ./cmd/standin/rehearser || exit 1; \
 	done
 
--- a/cmd/standin/crowder/instance_test.go
+++ b/cmd/standin/crowder/instance_test.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"lagoonstile/cmd/standin/emulator"
+	"lagoonstile/cmd/standin/observer"
 	"lagoonstile/platform"
 )
 
@@ -242,11 +243,11 @@
 			return
 		case <-time.After(sampleInterval):
 		}
-		resident := memoryOf(process.Pid, "VmRSS")
-		descriptors, unread := socketsOf(process.Pid)
+		resident := observer.Memory(process.Pid, "VmRSS")
+		descriptors, unread := observer.Sockets(process.Pid)
 		used := resident + unread
 		i.mu.Lock()
-		i.peakBytes = max(i.peakBytes, used, memoryOf(process.Pid, "VmHWM"))
+		i.peakBytes = max(i.peakBytes, used, observer.Memory(process.Pid, "VmHWM"))
 		i.peakUnread = max(i.peakUnread, unread)
 		i.peakDescriptors = max(i.peakDescriptors, descriptors)
 		i.mu.Unlock()
--- a/cmd/standin/crowder/usage_test.go
+++ b/cmd/standin/observer/observer.go
@@ -1,4 +1,6 @@
-package crowder_test
+// Package observer reads from Linux what processes use, as the users' platform counts it:
+// memory, descriptors, and what the kernel has received for their sockets.
+package observer
 
 import (
 	"bufio"
@@ -12,8 +14,8 @@
 // stateListen is the state of a listening socket in /proc/net/tcp.
 const stateListen = "0A"
 
-// memoryOf returns a size of /proc/PID/status in bytes, or 0 if the process has ended.
-func memoryOf(pid int, field string) int64 {
+// Memory returns a size of /proc/PID/status in bytes, or 0 if the process has ended.
+func Memory(pid int, field string) int64 {
 	data, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "status"))
 	if err != nil {
 		return 0
@@ -27,11 +29,11 @@
 	return 0
 }
 
-// socketsOf returns the number of descriptors of a process, and the bytes that the
+// Sockets returns the number of descriptors of a process, and the bytes that the
 // kernel has received for its sockets and that it has not read. Connections that wait to
 // be accepted by one of its listeners belong to it, too. It returns 0 if the process
 // has ended.
-func socketsOf(pid int) (descriptors int, unread int64) {
+func Sockets(pid int) (descriptors int, unread int64) {
 	dir := filepath.Join("/proc", strconv.Itoa(pid), "fd")
 	entries, _ := os.ReadDir(dir) // The process may have ended.
 	inodes := make(map[string]bool)
--- a/cmd/standin/rehearser/process_soak_test.go
+++ b/cmd/standin/rehearser/process_soak_test.go
@@ -60,14 +60,20 @@
 // at a time. Clients use open connections until the process is gone. Every answer is
 // checked against what the servers ran; no graceful stop may leave a request unanswered; no
 // run may go back to an earlier version; afterwards, all serve. LAGOONSTILE_SOAK sets the
-// length, LAGOONSTILE_SOAK_SEED the seed and LAGOONSTILE_SOAK_PROCESSES the number of processes.
+// length, LAGOONSTILE_SOAK_SEED the seed, LAGOONSTILE_SOAK_PROCESSES the number of processes
+// and LAGOONSTILE_SOAK_CROWD the number of clients without limits for each of them.
 func TestProcessesUnderFaults(t *testing.T) {
 	t.Parallel()
 	length, seed, processes := soakSettings(t)
 	s := &processSoak{testbed: newTestbed(t, 0), random: rand.New(rand.NewPCG(seed, 1)), version: 1}
 	binary := buildDaemon(t)
+	crowd := soakCrowd(t)
 	for n := range processes {
-		s.processes = append(s.processes, newProcess(t, binary, s.settings(n)))
+		settings := s.settings(n)
+		if crowd > 0 {
+			settings.MemoryBytes, settings.Descriptors = crowdMemoryBytes, crowdDescriptors
+		}
+		s.processes = append(s.processes, newProcess(t, binary, settings))
 		s.processes[n].start()
 	}
 	s.awaitRecovery("at the start")
@@ -77,8 +83,12 @@
 		random := rand.New(rand.NewPCG(seed, uint64(n)+2))
 		clients.Go(func() { s.runClient(random, stop) })
 	}
-	for _, p := range s.processes {
+	for n, p := range s.processes {
 		clients.Go(func() { s.watchVersion(p, stop) })
+		if crowd > 0 {
+			clients.Go(func() { s.watchUsage(p, stop) })
+			clients.Go(func() { s.runCrowd(rand.New(rand.NewPCG(seed, uint64(n)+1<<32)), crowd, stop) })
+		}
 	}
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(time.Duration(100+s.random.IntN(300)) * time.Millisecond) {
 		s.act()
--- a/cmd/standin/rehearser/process_test.go
+++ b/cmd/standin/rehearser/process_test.go
@@ -86,6 +86,7 @@
 			"grace_s": grace.Seconds(), "ttl_max_s": s.MaxAddressTTL.Seconds(), "retry_ratio": s.RetryBudget.Ratio,
 			"retry_window_s": s.RetryBudget.Span.Seconds(), "retry_slack": s.RetryBudget.Slack,
 		},
+		"limits":   map[string]any{"memory_mb": s.MemoryBytes / 1_000_000, "max_fds": s.Descriptors},
 		"platform": map[string]any{"address": s.StoreAddress},
 	})
 	if err != nil {
--- a/listener/fuzz_test.go
+++ b/listener/fuzz_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -154,6 +155,96 @@
 	})
 }
 
+// endless is a connection that repeats its bytes, without end for any request. Before each
+// read, it calls check.
+type endless struct {
+	piecewise
+	pattern []byte
+	at      int
+	left    int
+	check   func()
+}
+
+// Read implements net.Conn.
+func (e *endless) Read(b []byte) (int, error) {
+	e.check()
+	n := min(len(b), e.left)
+	if n == 0 {
+		return 0, io.EOF
+	}
+	for i := range b[:n] {
+		b[i] = e.pattern[e.at]
+		e.at = (e.at + 1) % len(e.pattern)
+	}
+	e.left -= n
+	return n, nil
+}
+
+// FuzzEndlessBytes reads requests from a start that is followed by bytes without end. The
+// connection must never hold more than it was granted, and nothing once it is gone.
+func FuzzEndlessBytes(f *testing.F) {
+	const post = "POST / HTTP/1.1\r\nHost: a\r\n"
+	for _, seed := range []struct{ start, pattern string }{
+		{"", "\r\n"}, {"", "\n"}, {"", "GET / HTTP/1.1\r\nHost: a\r\n\r\n"}, {"GET / HTTP/1.1\r\nHost: a\r\n", "A: b\r\n"},
+		{"GET /", "x"}, {post + "Content-Length: 90000\r\n\r\n", "x"}, {post + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		{post + "Transfer-Encoding: chunked\r\n\r\n", "2000\r\n" + strings.Repeat("x", 0x2000) + "\r\n"},
+		{post + "Transfer-Encoding: chunked\r\n\r\n", "1;e=1\r\nx\r\n"}, {post + "Transfer-Encoding: chunked\r\n\r\n1", ";"},
+		{post + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "T: v\r\n"},
+	} {
+		f.Add([]byte(seed.start), []byte(seed.pattern))
+	}
+	f.Fuzz(func(t *testing.T, start, pattern []byte) {
+		if len(pattern) == 0 {
+			return
+		}
+		const budgetBytes, endlessBytes = 1 << 20, 400_000
+		limits := DefaultLimits
+		limits.MaxHeadBytes, limits.MaxRequestBytes = 50_000, 100_000
+		limits.Budget = rationer.New(budgetBytes)
+		l := &Listener{limits: limits}
+		l.current.Store(&limits)
+		source := &endless{pattern: append(start, pattern...), left: endlessBytes}
+		c := newConn(source, l)
+		source.check = func() {
+			held := limits.Budget.Usage().HeldBytes
+			if held > budgetBytes {
+				t.Fatalf("%d bytes are held of %d", held, budgetBytes)
+			}
+			if len(c.buffer) > readBufferBytes && int64(len(c.buffer)) > held {
+				t.Fatalf("a buffer of %d bytes, %d were granted", len(c.buffer), held)
+			}
+			// Only the bytes after the start are repeated.
+			if source.at == 0 && source.left < endlessBytes {
+				source.at = len(start)
+			}
+		}
+		c.buffer = make([]byte, readBufferBytes)
+		c.in = c.buffer[:0]
+		for c.awaitRequest() == nil {
+			share := c.newShare()
+			req, err := c.readRequest(share)
+			var body int64
+			if err == nil {
+				pieces, _ := Pieces(req)
+				for _, piece := range pieces {
+					body += int64(cap(piece))
+				}
+			}
+			if held := share.Standing(time.Now()).HeldBytes; body > held {
+				t.Fatalf("a body of %d bytes, %d were granted", body, held)
+			}
+			share.Close()
+			if err != nil || req.Close {
+				break
+			}
+		}
+		c.share.Close()
+		if usage := limits.Budget.Usage(); usage.HeldBytes != 0 {
+			t.Errorf("%d bytes are held at the end", usage.HeldBytes)
+		}
+	})
+}
+
 // TestRefusedFraming checks what the listener refuses because readers disagree about
 // it, and that nothing behind it is taken for a request (RFC 9112, sections 2.2, 3.2,
 // 5.1, 5.2, 6.1, 6.3, 7.1).
