--- a/rationer/rationer_test.go
+++ b/rationer/rationer_test.go
@@ -131,3 +131,86 @@
 		t.Errorf("%d bytes are held, want 0", held)
 	}
 }
+
+// TestBaseCountsWithItsShare checks that a share whose owner holds little itself is revoked
+// if its base holds enough, and not without it.
+func TestBaseCountsWithItsShare(t *testing.T) {
+	for _, withBase := range []bool{false, true} {
+		b := New(1 << 20)
+		base, _ := revocable(t, b, 600<<10, Working, time.Hour)
+		reading, revoked := revocable(t, b, 100<<10, Reading, 3*time.Second)
+		if withBase {
+			reading.SetBase(base)
+		}
+		go func() {
+			<-revoked
+			reading.Close()
+			base.Close()
+		}()
+		if granted := b.NewShare(Request, nil).Take(t.Context(), 500<<10); granted != withBase {
+			t.Errorf("base %t: a take was granted: %t", withBase, granted)
+		}
+	}
+}
+
+// TestSpareTakesLeaveHalf checks that what an owner can do without is granted while half
+// of the budget stays free, and not beyond.
+func TestSpareTakesLeaveHalf(t *testing.T) {
+	b := New(1 << 20)
+	s := b.NewShare(Connection, nil)
+	if !s.TakeSpare(300 << 10) {
+		t.Error("a spare take was refused although half of the budget stays free")
+	}
+	if s.TakeSpare(200 << 10) {
+		t.Error("a spare take was granted that leaves less than half")
+	}
+	if !s.TryTake(200 << 10) {
+		t.Error("an ordinary take was refused")
+	}
+}
+
+// TestFewTakesWait checks that takes beyond maxWaiting are refused at once, and that those
+// that wait are granted when bytes are returned.
+func TestFewTakesWait(t *testing.T) {
+	b := New(largeBytes)
+	full := b.NewShare(Request, nil)
+	if !full.TryTake(largeBytes - 1) {
+		t.Fatal("the first take was refused")
+	}
+	granted := make(chan bool, maxWaiting)
+	for range maxWaiting {
+		go func() { granted <- b.NewShare(Request, nil).Take(context.Background(), 2) }()
+	}
+	for waiting := 0; waiting < maxWaiting; {
+		b.mu.Lock()
+		waiting = b.waiting
+		b.mu.Unlock()
+	}
+	if b.NewShare(Request, nil).Take(t.Context(), 2) {
+		t.Error("a take was granted that is not free")
+	}
+	if usage := b.Usage(); usage.Refused != 1 {
+		t.Errorf("%d takes were refused, want the last one", usage.Refused)
+	}
+	full.Close()
+	for range maxWaiting {
+		if !<-granted {
+			t.Error("a take that waited was refused although bytes were returned")
+		}
+	}
+}
+
+// TestTakesThatNeverFitAreRefusedAtOnce checks that a take over the part for large ones
+// does not make others give up.
+func TestTakesThatNeverFitAreRefusedAtOnce(t *testing.T) {
+	b := New(1 << 20)
+	_, revoked := revocable(t, b, 800<<10, Reading, time.Hour)
+	if b.NewShare(Request, nil).Take(t.Context(), b.LargestTake()+1) {
+		t.Error("a take over the limit was granted")
+	}
+	select {
+	case <-revoked:
+		t.Error("a share was revoked in vain")
+	default:
+	}
+}
