--- a/runner/instance.go
+++ b/runner/instance.go
@@ -144,7 +144,7 @@
 	if i.peers.linker, err = linker.Listen(i.settings.PeerAddress, i.self.Instance, i.self.Incarnation, i.peers, i.log); err != nil {
 		return fmt.Errorf("peers: %w", err)
 	}
-	adminLimits := i.allocation.sideLimits(i.settings.Limits, RoleOperators, i.log)
+	adminLimits := i.allocation.otherLimits(i.settings.Limits, RoleOperators, i.log)
 	if i.adminListener, err = listener.Listen(i.settings.AdminAddress, adminLimits, i.adminHandler()); err != nil {
 		i.peers.linker.Close()
 		return fmt.Errorf("admin: %w", err)
--- a/runner/node.go
+++ b/runner/node.go
@@ -207,7 +207,7 @@
 // AddListener opens an additional listener, which is closed when the node stops. The role
 // decides how much memory its clients may use, which no other listener uses.
 func (n *Node) AddListener(address string, role ListenerRole, handler http.Handler) error {
-	l, err := listener.Listen(address, n.allocation.sideLimits(n.settings.Limits, role, n.log), handler)
+	l, err := listener.Listen(address, n.allocation.otherLimits(n.settings.Limits, role, n.log), handler)
 	if err != nil {
 		return err
 	}
--- a/runner/resources.go
+++ b/runner/resources.go
@@ -68,10 +68,10 @@
 
 // Parts of the resources that connections and requests use.
 const (
-	// sideParts is the part of the memory, of sideWhole, that is for all but callers: for
+	// otherParts is the part of the memory, of otherWhole, that is for all but callers: for
 	// other listeners, and for connections to servers that are kept without a request.
-	sideParts = 7
-	sideWhole = 128
+	otherParts = 7
+	otherWhole = 128
 	// idlePart is the part for kept connections, as a divisor.
 	idlePart = 64
 	// kernelPart is the largest part of a budget, as a divisor, that receive buffers take.
@@ -81,10 +81,10 @@
 	minBudgetBytes = 4 << 20
 	// keptDescriptors are kept for files, the store, peers and readiness checks.
 	keptDescriptors = 264
-	// minCallerConnections and minSideConnections are the least numbers of connections
+	// minCallerConnections and minOtherConnections are the least numbers of connections
 	// that a listener accepts, and minBacklog the least number that wait to be accepted.
 	minCallerConnections = 16
-	minSideConnections   = 8
+	minOtherConnections  = 8
 	minBacklog           = 16
 )
 
@@ -92,7 +92,7 @@
 // those of any other listener may use. Servers need as many as callers.
 const (
 	callerDescriptors = 32
-	sideDescriptors   = 5
+	otherDescriptors  = 5
 	descriptorWhole   = 80
 )
 
@@ -103,11 +103,11 @@
 	// callerBudget is the size of the budget for callers, and idleBudget that of the
 	// connections to servers without a request, in bytes.
 	callerBudget, idleBudget int64
-	// callerConnections and sideConnections limit the connections of a listener. They are
+	// callerConnections and otherConnections limit the connections of a listener. They are
 	// 0 if the number of descriptors is not known.
-	callerConnections, sideConnections int
-	// callerBacklog and sideBacklog limit the connections that wait to be accepted.
-	callerBacklog, sideBacklog int
+	callerConnections, otherConnections int
+	// callerBacklog and otherBacklog limit the connections that wait to be accepted.
+	callerBacklog, otherBacklog int
 	// runtimeBytes is the memory for the runtime: its heap, stacks and garbage.
 	runtimeBytes int64
 }
@@ -123,21 +123,21 @@
 	free := a.memory - outside - stateBytes - a.memory/statePart - a.memory/garbagePart
 	// Receive buffers come out of what the runtime would use otherwise.
 	budgets := free * kernelPart / (kernelPart + 1)
-	side := a.memory * sideParts / sideWhole
-	a.callerBudget = max(budgets-side, minBudgetBytes)
+	others := a.memory * otherParts / otherWhole
+	a.callerBudget = max(budgets-others, minBudgetBytes)
 	a.idleBudget = a.memory / idlePart
-	a.runtimeBytes = a.memory - outside - (a.callerBudget+side)/kernelPart
+	a.runtimeBytes = a.memory - outside - (a.callerBudget+others)/kernelPart
 	a.callerBacklog = backlog(queues / 2)
-	a.sideBacklog = backlog(queues / 2 / maxSideListeners)
+	a.otherBacklog = backlog(queues / 2 / maxOtherListeners)
 	if descriptors := r.descriptors() - keptDescriptors; descriptors > -keptDescriptors {
 		a.callerConnections = max(descriptors*callerDescriptors/descriptorWhole, minCallerConnections)
-		a.sideConnections = max(descriptors*sideDescriptors/descriptorWhole, minSideConnections)
+		a.otherConnections = max(descriptors*otherDescriptors/descriptorWhole, minOtherConnections)
 	}
 	return a
 }
 
-// maxSideListeners is the number of listeners besides that for callers.
-const maxSideListeners = 3
+// maxOtherListeners is the number of listeners besides that for callers.
+const maxOtherListeners = 3
 
 // backlog returns how many connections may wait to be accepted in so many bytes.
 func backlog(bytes int64) int {
@@ -195,9 +195,9 @@
 	return limits
 }
 
-// sideLimits returns the limits of any other listener, which has a budget of its own.
-func (a allocation) sideLimits(limits listener.Limits, role ListenerRole, log *slog.Logger) listener.Limits {
-	limits.MaxConnections, limits.Backlog = a.sideConnections, a.sideBacklog
+// otherLimits returns the limits of any other listener, which has a budget of its own.
+func (a allocation) otherLimits(limits listener.Limits, role ListenerRole, log *slog.Logger) listener.Limits {
+	limits.MaxConnections, limits.Backlog = a.otherConnections, a.otherBacklog
 	limits.Budget, limits.Log = rationer.New(role.budgetBytes(a.memory)), log
 	limits.MaxRequestBytes = int(min(int64(limits.MaxRequestBytes), limits.Budget.LargestTake()))
 	return limits
--- a/runner/resources_test.go
+++ b/runner/resources_test.go
@@ -19,7 +19,7 @@
 			node := RolePeers.budgetBytes(memory) + RoleDirectory.budgetBytes(memory) + RoleReadiness.budgetBytes(memory)
 			instance := a.idleBudget + RoleOperators.budgetBytes(memory)
 			budgets := a.callerBudget + max(node, instance)
-			queues := receiveBytes * int64(a.callerBacklog+maxSideListeners*a.sideBacklog)
+			queues := receiveBytes * int64(a.callerBacklog+maxOtherListeners*a.otherBacklog)
 			outside := programBytes + fixedSocketBytes + queues
 			if sum := outside + budgets/kernelPart + a.runtimeBytes; sum > memory {
 				t.Errorf("%d bytes, %d descriptors: receive buffers and the runtime take %d bytes", memory, descriptors, sum)
@@ -28,11 +28,11 @@
 			if need := budgets + state + memory/garbagePart; need > a.runtimeBytes {
 				t.Errorf("%d bytes, %d descriptors: the runtime needs %d bytes and has %d", memory, descriptors, need, a.runtimeBytes)
 			}
-			if sum := 2*a.callerConnections + maxSideListeners*a.sideConnections; sum > descriptors-keptDescriptors {
+			if sum := 2*a.callerConnections + maxOtherListeners*a.otherConnections; sum > descriptors-keptDescriptors {
 				t.Errorf("%d bytes, %d descriptors: connections take %d descriptors", memory, descriptors, sum)
 			}
 			t.Logf("%5d MB %6d descriptors: %5d and 3 x %d connections, %4d MB for callers, %4d MB for the runtime, backlogs %d and 3 x %d",
-				memory/1e6, descriptors, a.callerConnections, a.sideConnections, a.callerBudget/1e6, a.runtimeBytes/1e6, a.callerBacklog, a.sideBacklog)
+				memory/1e6, descriptors, a.callerConnections, a.otherConnections, a.callerBudget/1e6, a.runtimeBytes/1e6, a.callerBacklog, a.otherBacklog)
 		}
 	}
 }
