Count the grace of a paused process from its return

Cause: the soak of processes ended a run by SIGQUIT 6 s after SIGTERM even if the run was stopped (SIGSTOP) when the signal came, and then reported that it had ended by itself. The trace of one: stopped at 52.9 s, SIGTERM at 53.7, continued at 55.0, SIGQUIT at 59.7, 4.7 s after the process could see the signal. Change: the grace counts from the end of the pause for such a run, and is as long as before; the check of the time that a stop took has left out paused runs since it exists. A stop without a pause is ended after the same 6 s.

--- a/cmd/standin/rehearser/process_test.go
+++ b/cmd/standin/rehearser/process_test.go
@@ -37,8 +37,11 @@
 	// termAt, killedAt and pausedAt are the times of the first signal of each kind, and
 	// exitedAt the end of the run.
 	termAt, killedAt, pausedAt, exitedAt time.Time
-	exited                               chan struct{}
-	stderr                               bytes.Buffer
+	// stopped is set while the run is paused, and resumedAt is the end of its last pause.
+	stopped   bool
+	resumedAt time.Time
+	exited    chan struct{}
+	stderr    bytes.Buffer
 }
 
 // disturbed reports whether the run was killed or paused before the given time.
@@ -176,19 +179,55 @@
 // awaitExit waits for the end of a run that was asked to shut down. A run that takes
 // longer than its grace time is made to write its stacks and end.
 func (p *process) awaitExit(run *processRun) {
-	select {
-	case <-run.exited:
-	case <-time.After(p.settings.Grace):
-		p.signal(syscall.SIGQUIT, func(*processRun) *time.Time { return new(time.Time) })
-		<-run.exited
+	for asked := time.Now(); ; {
+		left := time.Until(p.graceEnd(run, asked))
+		if left <= 0 {
+			break
+		}
+		select {
+		case <-run.exited:
+			return
+		case <-time.After(left):
+		}
+	}
+	p.signal(syscall.SIGQUIT, func(*processRun) *time.Time { return new(time.Time) })
+	<-run.exited
+}
+
+// graceEnd returns the end of the grace time of a run that was asked to shut down. A run
+// that is paused does not know of it: its time begins when it goes on.
+func (p *process) graceEnd(run *processRun, asked time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	since := asked
+	if run.resumedAt.After(since) {
+		since = run.resumedAt
+	}
+	if run.stopped {
+		since = time.Now()
 	}
+	return since.Add(p.settings.Grace)
 }
 
 // pause stops the run for a time.
 func (p *process) pause(length time.Duration) {
-	if run := p.signal(syscall.SIGSTOP, func(run *processRun) *time.Time { return &run.pausedAt }); run != nil {
-		time.Sleep(length)
-		p.signal(syscall.SIGCONT, func(*processRun) *time.Time { return new(time.Time) })
+	run := p.signal(syscall.SIGSTOP, func(run *processRun) *time.Time { return &run.pausedAt })
+	if run == nil {
+		return
+	}
+	p.setStopped(run, true)
+	time.Sleep(length)
+	p.signal(syscall.SIGCONT, func(*processRun) *time.Time { return new(time.Time) })
+	p.setStopped(run, false)
+}
+
+// setStopped records that a run is paused, or goes on.
+func (p *process) setStopped(run *processRun, stopped bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	run.stopped = stopped
+	if !stopped {
+		run.resumedAt = time.Now()
 	}
 }
 
