Do not call an order not run when there is no memory to serve it

Callers of the daemon could be told that an order had not run, though an earlier copy of it had: they might send it under a new key then. Cause: takes what the handler needs from the budget when a request's turn comes, and refused without the rule for requests with an idempotency key, which stood only where requests are refused while they are read. Change: both refusals go through one method. Measured: the tests of listener pass under the race detector.

--- a/listener/conn.go
+++ b/listener/conn.go
@@ -138,11 +138,7 @@
 		// A refusal needs no memory while it waits for earlier responses.
 		c.dropInput()
 		share.Close()
-		// The client may have sent the same order before, and it may have run.
-		if x.req != nil && x.req.Header.Get("Idempotency-Key") != "" {
-			x.failure.MayHaveRun = true
-		}
-		x.req = refused(x.req)
+		x.refuse(x.failure)
 	}
 	if c.listener.isDraining() {
 		x.req.Close = true
@@ -159,14 +155,17 @@
 	c.in = c.buffer[:0]
 }
 
-// refused returns the request, or one in its place if it could not be read, as one
-// after which the connection is closed.
-func refused(req *http.Request) *http.Request {
-	if req == nil {
-		req = &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}
+// refuse makes the exchange answer with a failure, after which the connection is closed.
+func (x *exchange) refuse(failure *answerer.Failure) {
+	x.failure = failure
+	if x.req == nil { // It could not be read.
+		x.req = &http.Request{Method: http.MethodGet, ProtoMajor: 1, ProtoMinor: 1}
+	}
+	x.req.Close = true
+	// The client may have sent the same order before, and it may have run.
+	if x.req.Header.Get("Idempotency-Key") != "" {
+		x.failure.MayHaveRun = true
 	}
-	req.Close = true
-	return req
 }
 
 // awaitEnd waits until all exchanges have ended. It still reads, and drops, some bytes,
@@ -342,8 +341,7 @@
 	defer cancel()
 	w := newResponse(x.req, c, x.share)
 	if x.failure == nil && !x.share.Take(ctx, c.listener.limits.HandlerBytes) {
-		x.failure = busy()
-		refused(x.req)
+		x.refuse(busy())
 	}
 	if x.failure != nil {
 		c.listener.logRefusal(x.failure)
--- a/listener/room_test.go
+++ b/listener/room_test.go
@@ -239,3 +239,29 @@
 		}
 	}
 }
+
+// TestRefusalForTheHandlersMemoryIsTrue sends requests for whose handler there is no memory.
+// A refusal says that the request has not run, but not of an order that may have been sent
+// before.
+func TestRefusalForTheHandlersMemoryIsTrue(t *testing.T) {
+	handler := func(http.ResponseWriter, *http.Request) { t.Error("the handler was called") }
+	tests := []struct {
+		name, header string
+		want         answerer.Outcome
+	}{
+		{"without a key", "", answerer.OutcomeNotRun},
+		{"with a key", "Idempotency-Key: k\r\n", answerer.OutcomeUnknown},
+	}
+	for _, test := range tests {
+		l := startRoom(t, Limits{HandlerBytes: 1 << 20}, 512<<10, http.HandlerFunc(handler))
+		c := send(t, l, "GET / HTTP/1.1\r\nHost: a\r\n"+test.header+"\r\n")
+		_ = c.SetReadDeadline(time.Now().Add(10 * time.Second))
+		res, err := http.ReadResponse(c.reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if outcome := answerer.Outcome(res.Header.Get(answerer.HeaderOutcome)); outcome != test.want {
+			t.Errorf("%s: status %d, outcome %q, want %q", test.name, res.StatusCode, outcome, test.want)
+		}
+	}
+}
