Set the account's header after the headers of the connection are dropped

Cause: the account's header was set on the client's request, and the headers that the client's Connection header names were dropped afterwards. A client could hide its account from servers that way, on the platform and on the daemon. Change: the header is set on the headers that are forwarded, last. The key and a header of the client's choice are removed from the request as before. Measured: the new rows of TestAccounts (relayer and forwarder) fail before and pass after.

--- a/forwarder/account_test.go
+++ b/forwarder/account_test.go
@@ -23,6 +23,7 @@
 	}{
 		{"known key", false, map[string]string{"lagoonstile-caller-key": "red"}, 200, "museum"},
 		{"account of the client's choice", false, map[string]string{"lagoonstile-caller-key": "red", "lagoonstile-caller": "shop"}, 200, "museum"},
+		{"account as a header of the connection", false, map[string]string{"lagoonstile-caller-key": "red", "connection": "lagoonstile-caller"}, 200, "museum"},
 		{"no key", false, map[string]string{"lagoonstile-caller": "museum"}, 401, ""},
 		{"unknown key", false, map[string]string{"lagoonstile-caller-key": "blue"}, 401, ""},
 		{"public", true, map[string]string{"lagoonstile-caller": "museum"}, 200, ""},
--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -107,11 +107,21 @@
 		return req, &answerer.Failure{Kind: answerer.KindBadRequest, Cause: err}
 	}
 	req.Body = body
-	req.Header = exchanger.EndToEnd(httpReq.Header)
+	req.Header = req.forwardedHeader(httpReq)
+	return req, nil
+}
+
+// forwardedHeader returns the headers of the request that servers get. Those that the
+// instance sets come last, since a caller can declare any header as one of its connection.
+func (r *Request) forwardedHeader(httpReq *http.Request) http.Header {
+	header := exchanger.EndToEnd(httpReq.Header)
+	if r.account != nil {
+		header.Set(lagoonstile.HeaderCaller, string(r.account.ID))
+	}
 	if host, _, err := net.SplitHostPort(httpReq.RemoteAddr); err == nil {
-		req.Header.Add(headerForwardedFor, host)
+		header.Add(headerForwardedFor, host)
 	}
-	return req, nil
+	return header
 }
 
 // readKey sets the key of a request that is not idempotent.
@@ -160,9 +170,8 @@
 }
 
 // authenticate sets the client account of a request. If the configuration has
-// accounts, the request's key decides: it is removed, and the caller header is set to
-// the account, whatever the client sent. The rank of an account takes precedence over
-// that of the service.
+// accounts, the request's key decides. The key is removed, and so is the caller header
+// that the client sent. The rank of an account takes precedence over that of the service.
 func (r *Request) authenticate(httpReq *http.Request, accounts *authenticator.Accounts) *answerer.Failure {
 	keys := httpReq.Header.Values(lagoonstile.HeaderCallerKey)
 	httpReq.Header.Del(lagoonstile.HeaderCallerKey)
@@ -181,7 +190,6 @@
 	}
 	r.Caller = account.ID
 	r.account = account
-	httpReq.Header.Set(lagoonstile.HeaderCaller, string(account.ID))
 	if account.Priority != nil {
 		r.Rank = lagoonstile.RankOfPriority(*account.Priority)
 	}
--- a/relayer/account.go
+++ b/relayer/account.go
@@ -8,6 +8,7 @@
 
 	"lagoonstile"
 	"lagoonstile/answerer"
+	"lagoonstile/exchanger"
 	"lagoonstile/router"
 	"lagoonstile/throttler"
 )
@@ -24,22 +25,19 @@
 const maxWaitOfObjective = 0.4
 
 // authenticate returns the client account of a request, or nil if it needs none. It
-// removes the key from the request and sets the account's header, so that no server
-// gets the key or an account that the client chose.
+// removes the key and the account's header from the request, so that no server gets the
+// key or an account that the client chose.
 func (r *Relayer) authenticate(httpReq *http.Request, table *router.PlanTable, route *lagoonstile.PlannedRoute) (*lagoonstile.Account, *answerer.Failure) {
 	accounts := table.Accounts()
 	if !accounts.Required() {
 		return nil, nil
 	}
-	keyName, accountName := http.CanonicalHeaderKey(r.Headers.Key), http.CanonicalHeaderKey(r.Headers.Account)
-	keys := httpReq.Header[keyName]
+	keys := httpReq.Header.Values(r.Headers.Key)
 	account := accounts.Lookup(keys)
-	delete(httpReq.Header, keyName)
-	delete(httpReq.Header, accountName)
+	httpReq.Header.Del(r.Headers.Key)
+	httpReq.Header.Del(r.Headers.Account)
 	switch {
-	case account != nil:
-		httpReq.Header[accountName] = []string{string(account.ID)}
-	case route.Public:
+	case account != nil, route.Public:
 	case len(keys) == 1 && keys[0] != "":
 		return nil, &answerer.Failure{Kind: answerer.KindUnknownKey, Cause: errUnknownKey}
 	default:
@@ -48,6 +46,16 @@
 	return account, nil
 }
 
+// forwardedHeader returns the headers of a request that servers get, with the account's
+// header. It is set last, since a client can declare any header as one of its connection.
+func (r *Relayer) forwardedHeader(httpReq *http.Request, account *lagoonstile.Account) http.Header {
+	header := exchanger.EndToEnd(httpReq.Header)
+	if account != nil {
+		header.Set(r.Headers.Account, string(account.ID))
+	}
+	return header
+}
+
 // drawQuota draws the credit for a request from the quota of its account. It returns a
 // failure if there is none.
 func (r *Relayer) drawQuota(ctx context.Context, req *request) *answerer.Failure {
--- a/relayer/account_test.go
+++ b/relayer/account_test.go
@@ -30,9 +30,13 @@
 	r.Headers.Key, r.Headers.Account = "x-key", "X-Account"
 }
 
-// askAs serves one request with the given values of the key and account headers.
-func askAs(r *relayer.Relayer, keys, accounts []string) *httptest.ResponseRecorder {
+// askAs serves one request with the given values of the key, account and Connection
+// headers.
+func askAs(r *relayer.Relayer, keys, accounts, connection []string) *httptest.ResponseRecorder {
 	req := httptest.NewRequest(http.MethodGet, "http://shop.example/7", strings.NewReader(""))
+	if connection != nil {
+		req.Header["Connection"] = connection
+	}
 	req.Header["X-Id"] = []string{"1"}
 	if keys != nil {
 		req.Header["X-Key"] = keys
@@ -51,27 +55,30 @@
 		name           string
 		public         bool
 		keys, accounts []string
+		connection     []string
 		status         int
 		// serverAccount is the account header that the server gets.
 		serverAccount []string
 	}{
-		{"known key", false, []string{"red"}, nil, 200, []string{"apiary"}},
-		{"account of the client's choice", false, []string{"red"}, []string{"museum"}, 200, []string{"apiary"}},
-		{"several accounts of the client's choice", false, []string{"green"}, []string{"apiary", "x"}, 200, []string{"museum"}},
-		{"no key", false, nil, []string{"apiary"}, 401, nil},
-		{"empty key", false, []string{""}, nil, 401, nil},
-		{"repeated key", false, []string{"red", "red"}, nil, 401, nil},
-		{"unknown key", false, []string{"yellow"}, nil, 401, nil},
-		{"public without key", true, nil, []string{"apiary"}, 200, nil},
-		{"public with unknown key", true, []string{"yellow"}, []string{"apiary"}, 200, nil},
-		{"public with known key", true, []string{"green"}, nil, 200, []string{"museum"}},
+		{"known key", false, []string{"red"}, nil, nil, 200, []string{"apiary"}},
+		{"account of the client's choice", false, []string{"red"}, []string{"museum"}, nil, 200, []string{"apiary"}},
+		{"several accounts of the client's choice", false, []string{"green"}, []string{"apiary", "x"}, nil, 200, []string{"museum"}},
+		{"account as a header of the connection", false, []string{"red"}, []string{"museum"}, []string{"keep-alive, x-account"}, 200, []string{"apiary"}},
+		{"key as a header of the connection", false, []string{"red"}, nil, []string{"X-Key", "X-Account"}, 200, []string{"apiary"}},
+		{"no key", false, nil, []string{"apiary"}, nil, 401, nil},
+		{"empty key", false, []string{""}, nil, nil, 401, nil},
+		{"repeated key", false, []string{"red", "red"}, nil, nil, 401, nil},
+		{"unknown key", false, []string{"yellow"}, nil, nil, 401, nil},
+		{"public without key", true, nil, []string{"apiary"}, nil, 200, nil},
+		{"public with unknown key", true, []string{"yellow"}, []string{"apiary"}, nil, 200, nil},
+		{"public with known key", true, []string{"green"}, nil, nil, 200, []string{"museum"}},
 	}
 	for _, test := range tests {
 		var got http.Header
 		r := newRelayer(t, lagoonstile.PlannedRoute{Idempotent: true, Objective: time.Second, Timeout: time.Second, MaxAttempts: 1},
 			func(w http.ResponseWriter, req *http.Request) { got = req.Header.Clone(); good(w, req) })
 		withAccounts(r, test.public)
-		response := askAs(r, test.keys, test.accounts)
+		response := askAs(r, test.keys, test.accounts, test.connection)
 		if response.Code != test.status {
 			t.Errorf("%s: status %d, want %d", test.name, response.Code, test.status)
 		}
@@ -118,7 +125,7 @@
 		withAccounts(r, false)
 		quota := &countedQuota{credit: test.credit}
 		r.Quotas = quota
-		response := askAs(r, []string{test.key}, nil)
+		response := askAs(r, []string{test.key}, nil, nil)
 		if response.Code != test.status {
 			t.Errorf("%s: status %d, want %d", test.name, response.Code, test.status)
 		}
--- a/relayer/request.go
+++ b/relayer/request.go
@@ -10,7 +10,6 @@
 
 	"lagoonstile"
 	"lagoonstile/answerer"
-	"lagoonstile/exchanger"
 	"lagoonstile/listener"
 	"lagoonstile/quarantiner"
 	"lagoonstile/throttler"
@@ -62,7 +61,7 @@
 		method:   httpReq.Method,
 		uri:      httpReq.URL.RequestURI(),
 		host:     httpReq.Host,
-		header:   exchanger.EndToEnd(httpReq.Header),
+		header:   r.forwardedHeader(httpReq, account),
 		body:     body,
 	}
 	req.fingerprint = fingerprintOf(req)
