Choose the route by the path as it was sent

Cause: the route was looked up by the decoded path, while servers get the path as it was sent. A coded slash made an order one of a longer prefix, whose requests may be repeated, and could reach a route that needs no key. Change: prefixes and paths are compared in the normal form of RFC 3986, section 6.2.2, on the platform and on the daemon. A coded slash stays coded; a needlessly coded letter is still the letter, so that it cannot be used to get around a route either.

--- a/forwarder/request.go
+++ b/forwarder/request.go
@@ -143,9 +143,9 @@
 // and otherwise by host and path.
 func matchService(httpReq *http.Request, table *router.Table) (router.Match, bool) {
 	if name := httpReq.Header.Get(lagoonstile.HeaderService); name != "" {
-		return table.Service(lagoonstile.ServiceID(name), httpReq.URL.Path)
+		return table.Service(lagoonstile.ServiceID(name), httpReq.URL.EscapedPath())
 	}
-	return table.Route(httpReq.Host, httpReq.URL.Path)
+	return table.Route(httpReq.Host, httpReq.URL.EscapedPath())
 }
 
 // headerForwardedFor is the header that the address of the caller is added to.
--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -126,7 +126,7 @@
 		r.refuse(w, httpReq, arrived, &answerer.Failure{Kind: answerer.KindNotReady, RetryAfter: notReadyRetryAfter})
 		return
 	}
-	route := table.Route(httpReq.Host, httpReq.URL.Path)
+	route := table.Route(httpReq.Host, httpReq.URL.EscapedPath())
 	if route == nil {
 		r.refuse(w, httpReq, arrived, &answerer.Failure{Kind: answerer.KindUnknownService})
 		return
--- a/router/plan.go
+++ b/router/plan.go
@@ -11,7 +11,7 @@
 // PlanTable finds the route of a request in a plan. It is never modified.
 type PlanTable struct {
 	Plan *lagoonstile.Plan
-	// hosts maps a lower-case host and a path prefix to the route.
+	// hosts maps a lower-case host and a normalized path prefix to the route.
 	hosts map[string]map[string]*lagoonstile.PlannedRoute
 	// accounts finds the client account of a key.
 	accounts *authenticator.Accounts
@@ -27,17 +27,18 @@
 		if t.hosts[host] == nil {
 			t.hosts[host] = make(map[string]*lagoonstile.PlannedRoute)
 		}
-		t.hosts[host][route.PathPrefix] = route
+		t.hosts[host][normalize(route.PathPrefix)] = route
 	}
 	return t
 }
 
 // Route returns the route with the longest path prefix for a host, whose port is
-// ignored, and a path. It returns nil if no route matches.
+// ignored, and a path as it was sent, not decoded. It returns nil if no route matches.
 func (t *PlanTable) Route(host, path string) *lagoonstile.PlannedRoute {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
+	path = normalize(path)
 	routes := t.hosts[strings.ToLower(host)]
 	for slash := strings.LastIndexByte(path, '/'); slash >= 0; slash = strings.LastIndexByte(path[:slash], '/') {
 		if route, ok := routes[path[:slash+1]]; ok {
--- a/router/plan_test.go
+++ b/router/plan_test.go
@@ -25,6 +25,8 @@
 		plannedRoute("stock", "a.example", "/stock/"),
 		plannedRoute("photo", "A.example", "/stock/photo/"),
 		plannedRoute("other", "b.example", "/only/"),
+		plannedRoute("coded", "b.example", "/a%2fb/"),
+		plannedRoute("umlaut", "b.example", "/b%C3%BCro/"),
 	}})
 	tests := []struct{ host, path, want string }{
 		{"a.example", "/", "root"},
@@ -36,6 +38,16 @@
 		{"b.example", "/only/x", "other"},
 		{"b.example", "/else", "none"},
 		{"c.example", "/", "none"},
+		{"a.example", "/stock/photo%2F7", "stock"},
+		{"a.example", "/stock%2Fphoto/7", "root"},
+		{"a.example", "/%73tock/7", "stock"},
+		{"a.example", "/stock/%3F/7", "stock"},
+		{"a.example", "/stock/%zz", "stock"},
+		{"a.example", "/%", "root"},
+		{"b.example", "/a/b/7", "none"},
+		{"b.example", "/a%2Fb/7", "coded"},
+		{"b.example", "/b%c3%bcro/7", "umlaut"},
+		{"b.example", "/büro/7", "umlaut"},
 	}
 	for _, test := range tests {
 		got := "none"
--- a/router/router.go
+++ b/router/router.go
@@ -33,8 +33,8 @@
 type Table struct {
 	Version lagoonstile.Version
 	entries map[lagoonstile.ServiceID]*Entry
-	// routes maps a lower-case host and a path prefix to the match. Routes for any
-	// host have the empty host.
+	// routes maps a lower-case host and a normalized path prefix to the match. Routes
+	// for any host have the empty host.
 	routes map[string]map[string]Match
 	// accounts finds the client account of a key.
 	accounts *authenticator.Accounts
@@ -65,25 +65,27 @@
 			if t.routes[host] == nil {
 				t.routes[host] = make(map[string]Match)
 			}
-			t.routes[host][r.PathPrefix] = Match{Entry: entry, Rank: rankOf(r, entry)}
+			t.routes[host][normalize(r.PathPrefix)] = Match{Entry: entry, Rank: rankOf(r, entry)}
 		}
 	}
 	return t
 }
 
 // Service returns the match for a request that names its service. The rank is
-// that of the service's route with the longest prefix that matches the path, or
-// else the service's own. The result is false if the table has no such service.
+// that of the service's route with the longest prefix that matches the path, which is
+// given as it was sent, or else the service's own. The result is false if the table has no such service.
 func (t *Table) Service(id lagoonstile.ServiceID, path string) (Match, bool) {
 	entry := t.entries[id]
 	if entry == nil {
 		return Match{}, false
 	}
 	match := Match{Entry: entry, Rank: entry.Service.Rank}
+	path = normalize(path)
 	longest := 0
 	for _, r := range entry.Service.Routes {
-		if len(r.PathPrefix) > longest && matchesPrefix(r.PathPrefix, path) {
-			longest = len(r.PathPrefix)
+		prefix := normalize(r.PathPrefix)
+		if len(prefix) > longest && matchesPrefix(prefix, path) {
+			longest = len(prefix)
 			match.Rank = rankOf(r, entry)
 		}
 	}
@@ -97,12 +99,13 @@
 func (t *Table) Entry(id lagoonstile.ServiceID) *Entry { return t.entries[id] }
 
 // Route returns the match with the longest path prefix for a host, whose port is
-// ignored, and a path. Routes of the host take precedence over routes for any
-// host. The result is false if no route matches.
+// ignored, and a path as it was sent, not decoded. Routes of the host take precedence
+// over routes for any host. The result is false if no route matches.
 func (t *Table) Route(host, path string) (Match, bool) {
 	if name, _, err := net.SplitHostPort(host); err == nil {
 		host = name
 	}
+	path = normalize(path)
 	if match, ok := longestMatch(t.routes[strings.ToLower(host)], path); ok {
 		return match, true
 	}
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -20,6 +20,7 @@
 			lagoonstile.Route{PathPrefix: "/export", Rank: lagoonstile.RankDownloads}),
 		entry("dir", lagoonstile.RankLookups, lagoonstile.Route{PathPrefix: "/dir/"}),
 		entry("portal", lagoonstile.RankLookups, lagoonstile.Route{Host: "Portal.example", PathPrefix: "/"}),
+		entry("cafe", lagoonstile.RankLookups, lagoonstile.Route{PathPrefix: "/café"}),
 	}, nil)
 	tests := []struct {
 		name, host, path string
@@ -35,6 +36,10 @@
 		{"no matching route", "a", "/", "", ""},
 		{"prefix ends in a slash", "a", "/dir/x", "dir", lagoonstile.RankLookups},
 		{"path lacks the slash that ends the prefix", "a", "/dir", "", ""},
+		{"coded slash", "a", "/stock%2Forder/7", "", ""},
+		{"coded slash below the prefix", "a", "/stock/order%2F7", "stock", lagoonstile.RankLookups},
+		{"needlessly coded letter", "a", "/stock/%6Frder/7", "orders", lagoonstile.RankOrders},
+		{"letter that must be coded", "a", "/caf%c3%A9/7", "cafe", lagoonstile.RankLookups},
 	}
 	for _, test := range tests {
 		match, ok := table.Route(test.host, test.path)
@@ -46,8 +51,10 @@
 			t.Errorf("%s: got service %s with rank %s, want %s with %s", test.name, match.Entry.Service.ID, match.Rank, test.service, test.rank)
 		}
 	}
-	if match, ok := table.Service("orders", "/export/7"); !ok || match.Rank != lagoonstile.RankDownloads {
-		t.Errorf("a request that names its service has rank %s, want the rank of the route", match.Rank)
+	for path, want := range map[string]lagoonstile.Rank{"/export/7": lagoonstile.RankDownloads, "/%65xport/7": lagoonstile.RankDownloads, "/export%2F7": lagoonstile.RankOrders} {
+		if match, ok := table.Service("orders", path); !ok || match.Rank != want {
+			t.Errorf("a request for %s that names its service has rank %s, want %s", path, match.Rank, want)
+		}
 	}
 }
 
