Keep an ended connection open until its client has received the answers

Cause: a connection was closed at once after its last answer, and in a drain as soon as it was idle. A request that came then was answered by the kernel with a reset, which dropped what of the answers the client had not received (RFC 9112, section 9.6). Change: the connection is closed for writing, and read until the client has acknowledged everything or has left, or makes no progress for the stall timeout. A drain counts it as busy meanwhile.

--- a/listener/conn.go
+++ b/listener/conn.go
@@ -25,11 +25,6 @@
 	maxPipelined = 16
 	// connBytes is what an open connection takes of the budget besides its receive buffer.
 	connBytes = 16 << 10
-	// lingerTime and lingerBytes limit how long, and how much of a request, a
-	// connection is still read after its last response. A connection that is closed
-	// with unread bytes is reset, and the client may then lose the response.
-	lingerTime  = time.Second
-	lingerBytes = 16 << 20
 )
 
 // exchange is one request of a connection, or the failure with which it is answered.
@@ -78,8 +73,10 @@
 	// received is set once bytes were received.
 	received bool
 	// closed is set when no more bytes can be received, and ended when no other request
-	// must be answered.
+	// must be answered. An ended connection is closed once its client has received what
+	// was written, but not before lingerUntil.
 	closed, ended bool
+	lingerUntil   time.Time
 }
 
 func newConn(tcp net.Conn, l *Listener) *conn {
@@ -103,7 +100,7 @@
 	}()
 	c.buffer = make([]byte, readBufferBytes)
 	c.in = c.buffer[:0]
-	for c.readOne() {
+	for !c.hasEnded() && c.readOne() {
 	}
 	c.awaitEnd()
 	_ = c.Close()
@@ -114,7 +111,6 @@
 func (c *conn) readOne() bool {
 	err := c.awaitRequest()
 	if errors.Is(err, errGone) {
-		c.markClosed()
 		return false
 	}
 	share := c.newShare()
@@ -168,42 +164,13 @@
 	}
 }
 
-// awaitEnd waits until all exchanges have ended. It still reads, and drops, some bytes,
-// to notice when the client leaves and to let it read the last response.
-func (c *conn) awaitEnd() {
-	c.mu.Lock()
-	drained := make(chan struct{})
-	if len(c.exchanges) == 0 {
-		close(drained)
-	}
-	c.drained = drained
-	closed := c.closed
-	if !c.ended {
-		_ = c.SetReadDeadline(time.Time{})
-	}
-	c.mu.Unlock()
-	if !closed {
-		c.discard()
-	}
-	<-drained
-}
-
-// discard reads and drops at most lingerBytes until the connection ends.
-func (c *conn) discard() {
-	for dropped := 0; dropped < lingerBytes; {
-		n, err := c.Read(c.buffer)
-		dropped += n
-		if err != nil {
-			c.markClosed()
-			return
-		}
-	}
-}
-
 // startWaiting begins to wait for the first byte of a request.
 func (c *conn) startWaiting() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ended {
+		return
+	}
 	c.waiting = true
 	if len(c.exchanges) == 0 {
 		c.becomeIdle()
@@ -212,12 +179,12 @@
 	}
 }
 
-// becomeIdle starts the time after which an idle connection is closed. One of a draining
-// listener is closed at once; StartDrain closes it if it begins after this check. The
-// caller holds c.mu.
+// becomeIdle starts the time after which an idle connection ends. One of a draining
+// listener ends at once; StartDrain ends it if it begins after this check. The caller
+// holds c.mu.
 func (c *conn) becomeIdle() {
 	if c.received && c.listener.isDraining() {
-		_ = c.Close()
+		c.beginEnd(time.Time{})
 		return
 	}
 	_ = c.SetReadDeadline(time.Now().Add(c.listener.limits.IdleTimeout))
@@ -288,11 +255,12 @@
 	return c.giveUp
 }
 
-// setReadDeadline sets the deadline for the reading goroutine, unless it must give up.
+// setReadDeadline sets the deadline for the reading goroutine, unless it must give up
+// the request or the connection has ended.
 func (c *conn) setReadDeadline(at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.giveUp {
+	if !c.giveUp && !c.ended {
 		_ = c.SetReadDeadline(at)
 	}
 }
@@ -350,25 +318,13 @@
 		c.listener.handler.ServeHTTP(w, x.req.WithContext(ctx))
 	}
 	w.finish()
-	if !w.keepsConnection() {
-		c.end(x.failure != nil)
-	}
-}
-
-// end ends the connection after its last response. The client has lingerTime to read
-// the response if it may still be sending its request, unless the memory of the
-// connection is needed.
-func (c *conn) end(sending bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.ended = true
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !sending || c.giveUp || !ok {
-		_ = c.Close()
-		return
+	switch {
+	case w.keepsConnection():
+	case x.failure != nil:
+		c.endAfter(lingerTime) // The client may still be sending its request.
+	default:
+		c.endAfter(0)
 	}
-	_ = tcp.CloseWrite()
-	_ = c.SetReadDeadline(time.Now().Add(lingerTime))
 }
 
 // finishExchange removes the first exchange and reports whether there are others.
@@ -433,47 +389,19 @@
 	}
 }
 
-// Abort closes the connection with a reset, so that the client cannot take an
-// incomplete response for a complete one.
-func (c *conn) Abort() {
-	c.mu.Lock()
-	c.ended = true
-	c.mu.Unlock()
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
-// closeIfIdle closes a connection from which bytes were received and on which
-// nothing is in flight.
-func (c *conn) closeIfIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.received && c.idle() {
-		_ = c.Close()
-	}
-}
-
-// closeIfWaiting closes a connection on which nothing is in flight.
-func (c *conn) closeIfWaiting(rationer.Phase) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.idle() {
-		_ = c.Close()
-	}
-}
-
 // idle reports whether no request is being read or answered. The caller must hold
 // c.mu.
 func (c *conn) idle() bool { return len(c.exchanges) == 0 && c.waiting }
 
-// busy reports whether a request is being read or is in flight, or a response has
-// not been written completely. A closed connection is not busy, although its last
-// exchange may still run.
+// busy reports whether a request is being read or is in flight, or the client has not
+// received all of the responses of an ended connection. A closed connection is not busy,
+// although its last exchange may still run.
 func (c *conn) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ended && len(c.exchanges) == 0 {
+		return !c.closed && (c.unsent() > endBytes || time.Now().Before(c.lingerUntil))
+	}
 	return !c.closed && !c.idle()
 }
 
@@ -542,15 +470,6 @@
 	return wait{conn: c, class: class, held: standing.HeldBytes, behind: standing.Behind}
 }
 
-// markClosed records that the client has closed the connection, and cancels the
-// requests in flight.
-func (c *conn) markClosed() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closed, c.ended = true, true
-	c.cancel()
-}
-
 // shed closes a connection if it still waits for its client as it did. What it holds
 // without its requests is free at once.
 func (c *conn) shed(class waitClass) bool {
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -216,20 +216,21 @@
 // Address returns the IP:port that the listener accepts connections on.
 func (l *Listener) Address() string { return l.tcp.Addr().String() }
 
-// StartDrain starts a graceful shutdown: idle connections are closed, and busy ones
-// after their response. New connections, and those from which no byte has been
+// StartDrain starts a graceful shutdown: idle connections end, and busy ones after their
+// response. New connections, and those from which no byte has been
 // received yet, still serve one request each.
 func (l *Listener) StartDrain() {
 	l.draining.Store(true)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		c.closeIfIdle()
+		c.endIfIdle()
 	}
 }
 
 // BusyConnections returns the number of connections on which a request is being
-// read or is in flight, or a response has not been written completely.
+// read or is in flight, or that have ended and whose clients have not received all of
+// the responses.
 func (l *Listener) BusyConnections() int {
 	return l.count((*conn).busy)
 }
--- a/listener/request.go
+++ b/listener/request.go
@@ -127,9 +127,9 @@
 	for skipped := 0; ; skipped++ {
 		if len(c.in) == 0 {
 			c.startWaiting()
-			if c.fill() != nil {
-				// Before it stops waiting: a connection that has ended is not busy.
-				c.markClosed()
+			if err := c.fill(); err != nil {
+				// Before it stops waiting: a connection whose client has left is not busy.
+				c.leave(err)
 				return errGone
 			}
 			c.stopWaiting()
@@ -138,8 +138,11 @@
 		case c.in[0] == '\n':
 			c.in = c.in[1:]
 		case c.in[0] == '\r':
-			if len(c.in) == 1 && c.fillWithin(c.limits().HeadTimeout) != nil {
-				return errGone
+			if len(c.in) == 1 {
+				if err := c.fillWithin(c.limits().HeadTimeout); err != nil {
+					c.leave(err)
+					return errGone
+				}
 			}
 			if c.in[1] != '\n' {
 				return nil // The parser refuses it.
