Break off an answer without a reset if it shows that it is incomplete

Cause: an answer that a server breaks off was ended with a reset, which dropped what the client had not received of earlier, whole answers on the connection. Change: an answer with a length or in chunks ends with the end of the connection, like any last answer. Only one that the end of the connection would complete is still reset. Measured: the two cases of broken answers in TestAnswersAreWholeBehindAnEnd fail before (4 kB of 300 kB received) and pass after.

--- a/listener/ending_test.go
+++ b/listener/ending_test.go
@@ -49,6 +49,8 @@
 		{name: "answer of HTTP/1.0", protocol: "HTTP/1.0", answers: 1},
 		{name: "drain of an idle connection", protocol: "HTTP/1.1", answers: 2, drainAfter: true},
 		{name: "drain with a request in flight", protocol: "HTTP/1.1", answers: 1, drainInFlight: true},
+		{name: "broken answer with a length", protocol: "HTTP/1.1", answers: 2, broken: true},
+		{name: "broken answer in chunks", protocol: "HTTP/1.1", answers: 2, broken: true, chunked: true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
--- a/listener/response.go
+++ b/listener/response.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -289,21 +290,37 @@
 	}
 	r.send(nil)
 	if r.hasBody() && r.length > r.written {
-		r.conn.Abort()
+		r.abort()
 	}
 }
 
 // keepsConnection reports whether another response may follow.
 func (r *response) keepsConnection() bool { return r.err == nil && !r.req.Close }
 
-// Abort closes the connection of a response writer with a reset, so that the caller
-// sees that the response is incomplete. It returns false, without any effect, if w
-// does not belong to a Listener.
+// errAborted is the error of writes to an aborted response.
+var errAborted = errors.New("response was aborted")
+
+// abort ends the connection so that the client sees that the response is incomplete. A
+// body with a length, or in chunks, shows that by itself (RFC 9112, section 8). For any
+// other the connection is reset, since its end would be that of the body.
+func (r *response) abort() {
+	if r.headSent && r.hasBody() && r.length < 0 && !r.chunked {
+		r.conn.Abort()
+	}
+	if r.err == nil {
+		r.err = errAborted
+	}
+	r.conn.endAfter(0)
+}
+
+// Abort ends the connection of a response writer so that the caller sees that the
+// response is incomplete. It returns false, without any effect, if w does not belong to a
+// Listener.
 func Abort(w any) bool {
 	r, ok := w.(*response)
 	if !ok {
 		return false
 	}
-	r.conn.Abort()
+	r.abort()
 	return true
 }
