Spend less processor time on endless answers in the tests

The stand-in wrote endless answers in pieces of 4 KB, and the clients kept all of the 64 MB that they got, so that few requests were sent in the 5 s of the test, and those before the faulty server is known weighed more. Change: pieces of 64 KB; clients read to the end and keep the first 64 KB. The shares that the test asks for are as before.

--- a/cmd/standin/emulator/backend.go
+++ b/cmd/standin/emulator/backend.go
@@ -335,6 +335,13 @@
 	_, _ = w.Write([]byte(body)) // A write error means that the client has gone.
 }
 
+// An endless response repeats endlessLine, in pieces of about endlessPieceBytes. Small
+// pieces would cost more processor time than all that is tested.
+const (
+	endlessLine       = "X-Many: 1\r\n"
+	endlessPieceBytes = 64 << 10
+)
+
 // sendEndlessly sends a response that never ends, in the given mode, until the
 // connection is closed.
 func sendEndlessly(w http.ResponseWriter, id string, mode BackendMode) {
@@ -347,7 +354,7 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	piece := []byte(strings.Repeat("X-Many: 1\r\n", 400))
+	piece := []byte(strings.Repeat(endlessLine, endlessPieceBytes/len(endlessLine)))
 	start := "HTTP/1.1 200 OK\r\nX-Server-Signature: sig\r\nX-Request-Id: " + id + "\r\n"
 	if mode == BackendEndlessBody {
 		start += "\r\n"
--- a/cmd/standin/rehearser/testbed_test.go
+++ b/cmd/standin/rehearser/testbed_test.go
@@ -286,12 +286,12 @@
 		return a
 	}
 	defer func() { _ = res.Body.Close() }()
-	body, err := io.ReadAll(res.Body)
+	body, err := readBody(res.Body)
 	if err != nil {
 		a.body = err.Error()
 		return a
 	}
-	a.status, a.body = res.StatusCode, string(body)
+	a.status, a.body = res.StatusCode, body
 	a.retryAfter = res.Header.Get("Retry-After")
 	a.signed = res.Header.Get("X-Server-Signature") != ""
 	a.took = time.Since(began)
@@ -299,6 +299,20 @@
 	return a
 }
 
+// maxKeptBytes is how much of a body is kept, which is more than any server sends in a
+// whole answer.
+const maxKeptBytes = 64 << 10
+
+// readBody reads a body to its end and returns the start of it.
+func readBody(body io.Reader) (string, error) {
+	start, err := io.ReadAll(io.LimitReader(body, maxKeptBytes))
+	if err != nil {
+		return "", err
+	}
+	_, err = io.Copy(io.Discard, body)
+	return string(start), err
+}
+
 // checkAnswer checks that an answer agrees with what the servers ran: a success is
 // signed and belongs to its request, an order runs at most once, and an order
 // whose status says that it did not run has not run.
