Count a broken response against its server although the connection ends

Cause: a response that its server breaks off ends the client's connection, which ends the context of the request. The context was looked at after that, so the failure passed for a departure of the client, and the server stayed trusted. Change: the context is looked at before the connection is ended.

--- a/relayer/relayer.go
+++ b/relayer/relayer.go
@@ -159,9 +159,8 @@
 		return
 	}
 	defer response.Close()
-	err := r.writeResponse(w, req, response)
-	// If the client has disconnected, the failure says nothing about the server.
-	if err != nil && relay.responder != nil && httpReq.Context().Err() == nil {
+	err := r.writeResponse(httpReq.Context(), w, req, response)
+	if err != nil && relay.responder != nil {
 		r.Allocator.ObserveFailure(req.service, relay.responder)
 	}
 }
@@ -194,9 +193,10 @@
 
 // writeResponse writes a server's response to the client. The end-to-end headers
 // and the body are passed on unchanged. If the body ends early, the client
-// connection is aborted, so that the client sees an incomplete response, and the
-// server's error is returned. A client that disconnects is no error.
-func (r *Relayer) writeResponse(w http.ResponseWriter, req *request, response *exchanger.Response) error {
+// connection is ended, so that the client sees an incomplete response, and the
+// server's error is returned. A client that disconnects, which ends the context, is no
+// error.
+func (r *Relayer) writeResponse(ctx context.Context, w http.ResponseWriter, req *request, response *exchanger.Response) error {
 	header := w.Header()
 	for name, values := range response.Header {
 		header[name] = values
@@ -215,9 +215,15 @@
 		return nil
 	}
 	source := &errorKeeper{reader: response.Rest}
-	if _, err := io.Copy(w, source); err != nil {
-		r.Log.Warn("answer-broken", logger.RequestKey, req.id, "route", req.route.Name, "cause", err)
-		listener.Abort(w)
+	_, err := io.Copy(w, source)
+	if err == nil {
+		return nil
+	}
+	gone := ctx.Err() != nil // The end of the connection also ends the context.
+	r.Log.Warn("answer-broken", logger.RequestKey, req.id, "route", req.route.Name, "cause", err)
+	listener.Abort(w)
+	if gone {
+		return nil
 	}
 	return source.err
 }
