--- a/listener/conn.go
+++ b/listener/conn.go
@@ -94,7 +94,7 @@
 	defer func() {
 		if cause := recover(); cause != nil {
 			slog.Error("reader-panicked", "cause", cause, "stack", string(debug.Stack()))
-			c.Abort()
+			c.reset()
 		}
 	}()
 	c.buffer = make([]byte, readBufferBytes)
@@ -224,7 +224,7 @@
 	if phase == rationer.Writing {
 		// The write may have ended since the share was chosen.
 		if share.Revoked() {
-			c.Abort()
+			c.reset()
 		}
 		return
 	}
@@ -301,7 +301,7 @@
 	defer func() {
 		if cause := recover(); cause != nil {
 			slog.Error("handler-panicked", "cause", cause, "stack", string(debug.Stack()))
-			c.Abort()
+			c.reset()
 		}
 	}()
 	ctx, cancel := context.WithCancel(rationer.WithShare(c.ctx, x.share))
--- a/listener/ending.go
+++ b/listener/ending.go
@@ -163,9 +163,9 @@
 	return unsent
 }
 
-// Abort closes the connection with a reset, so that the client cannot take an
-// incomplete response for a complete one.
-func (c *conn) Abort() {
+// reset closes the connection at once, and with a reset, so that the client cannot take an
+// incomplete response for a complete one. It drops what the client has not received.
+func (c *conn) reset() {
 	c.mu.Lock()
 	c.ended = true
 	c.mu.Unlock()
--- a/listener/response.go
+++ b/listener/response.go
@@ -305,7 +305,7 @@
 // other the connection is reset, since its end would be that of the body.
 func (r *response) abort() {
 	if r.headSent && r.hasBody() && r.length < 0 && !r.chunked {
-		r.conn.Abort()
+		r.conn.reset()
 	}
 	if r.err == nil {
 		r.err = errAborted
--- a/listener/room.go
+++ b/listener/room.go
@@ -154,7 +154,7 @@
 	if now := c.waitsFor(time.Now()); now.class != class || class == waitsForServer {
 		return false
 	}
-	c.Abort()
+	c.reset()
 	c.mu.Lock()
 	reading := c.reading
 	c.mu.Unlock()
