Log why an ended connection is closed

No line tells whether a connection was closed because all was delivered, or because the kernel did not tell what was. Change: connection-ended names the reason, what was not acknowledged and whether that was known. The count of unacknowledged bytes moves to package sizer, behind a function of the listener that a test can replace.

--- a/listener/conn.go
+++ b/listener/conn.go
@@ -76,6 +76,8 @@
 	// was written, but not before lingerUntil.
 	closed, ended bool
 	lingerUntil   time.Time
+	// end is how the connection was closed after it had ended.
+	end end
 }
 
 func newConn(tcp net.Conn, l *Listener) *conn {
@@ -103,6 +105,7 @@
 	}
 	c.awaitEnd()
 	_ = c.Close()
+	c.logEnd()
 }
 
 // readOne reads one request and passes it on. It returns false if no other request can
--- a/listener/ending.go
+++ b/listener/ending.go
@@ -4,11 +4,8 @@
 	"errors"
 	"net"
 	"os"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"lagoonstile/rationer"
 )
 
@@ -79,6 +76,7 @@
 func (c *conn) markClosed() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.setEnd(endLeft)
 	c.closed, c.ended = true, true
 	c.cancel()
 }
@@ -114,6 +112,9 @@
 			return
 		}
 	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setEnd(endFlooded)
 }
 
 // delivery is what the client of an ended connection has received.
@@ -135,8 +136,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delivered := unsent == 0 && now.After(c.lingerUntil)
-	if delivered || now.Sub(d.since) > c.listener.limits.StallTimeout {
+	switch {
+	case unsent == 0 && now.After(c.lingerUntil):
+		c.setEnd(endDelivered)
+		return false
+	case now.Sub(d.since) > c.listener.limits.StallTimeout:
+		c.setEnd(endStalled)
 		return false
 	}
 	d.pause = min(max(2*d.pause, minLingerPause), maxLingerPause)
@@ -147,20 +152,49 @@
 // unsent returns the number of written bytes that the client has not acknowledged, with
 // endBytes if the connection was closed for writing, or 0 if that is not known.
 func (c *conn) unsent() int {
-	source, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0
-	}
-	raw, err := source.SyscallConn()
-	if err != nil {
-		return 0
+	unsent, _ := c.listener.unsent(c.Conn)
+	return unsent
+}
+
+// endReason is why an ended connection was closed.
+type endReason string
+
+// The reasons for closing an ended connection.
+const (
+	endDelivered endReason = "delivered"       // Nothing is unsent.
+	endLeft      endReason = "client-left"     // The client has closed or reset it.
+	endStalled   endReason = "stalled"         // The client has received nothing more in time.
+	endFlooded   endReason = "client-sends-on" // The client has sent more than lingerBytes.
+	endShed      endReason = "room-wanted"     // Another connection needs its descriptor or memory.
+	endClosed    endReason = "listener-closed" // The process stops.
+)
+
+// end is how an ended connection was closed.
+type end struct {
+	reason endReason
+	// unsent is the number of bytes that the client had not acknowledged, if known is set.
+	unsent int
+	known  bool
+}
+
+// setEnd records why an ended connection is closed, unless that is known already. The
+// caller holds c.mu.
+func (c *conn) setEnd(reason endReason) {
+	if !c.ended || c.end.reason != "" {
+		return
 	}
-	unsent := 0
-	err = raw.Control(func(fd uintptr) { unsent, _ = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) })
-	if err != nil {
-		return 0
+	c.end.reason = reason
+	c.end.unsent, c.end.known = c.listener.unsent(c.Conn)
+}
+
+// logEnd logs how an ended connection was closed.
+func (c *conn) logEnd() {
+	c.mu.Lock()
+	end := c.end
+	c.mu.Unlock()
+	if end.reason != "" {
+		c.listener.note(eventEnded, end.reason, "client", c.RemoteAddr(), "unsent-bytes", end.unsent, "unsent-known", end.known)
 	}
-	return unsent
 }
 
 // reset closes the connection at once, and with a reset, so that the client cannot take an
@@ -175,6 +209,14 @@
 	_ = c.Close()
 }
 
+// closeNow closes the connection because the listener is closed.
+func (c *conn) closeNow() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setEnd(endClosed)
+	_ = c.Close()
+}
+
 // endIfIdle ends a connection from which bytes were received and on which nothing is in
 // flight.
 func (c *conn) endIfIdle() {
@@ -190,6 +232,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle() || c.ended && len(c.exchanges) == 0 {
+		c.setEnd(endShed)
 		_ = c.Close()
 	}
 }
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -121,6 +121,7 @@
 	eventShed      = "connection-shed"
 	eventNoRoom    = "connection-refused"
 	eventBodyLimit = "body-limit-above-memory"
+	eventEnded     = "connection-ended"
 )
 
 // noteInterval is the shortest time between two lines about the same event.
@@ -148,6 +149,9 @@
 	notes   map[noteKey]*note
 	// shed counts the connections closed or refused for want of descriptors or memory.
 	shed atomic.Int64
+	// unsent returns how much of what was written to a connection is not acknowledged, and
+	// false if that is not known.
+	unsent func(net.Conn) (bytes int, known bool)
 }
 
 // noteKey is an event with what it is about.
@@ -171,7 +175,7 @@
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	sizer.SetBacklog(tcp, limits.Backlog)
-	l := &Listener{limits: limits, handler: handler, tcp: tcp, conns: make(map[*conn]struct{}), notes: make(map[noteKey]*note)}
+	l := &Listener{limits: limits, handler: handler, tcp: tcp, conns: make(map[*conn]struct{}), notes: make(map[noteKey]*note), unsent: sizer.Unsent}
 	l.current.Store(&limits)
 	l.checkBodyLimit(limits.MaxRequestBytes)
 	l.readers.Add(1)
@@ -260,7 +264,7 @@
 	l.mu.Lock()
 	l.closed = true
 	for c := range l.conns {
-		_ = c.Close()
+		c.closeNow()
 	}
 	l.mu.Unlock()
 	l.readers.Wait()
@@ -301,8 +305,8 @@
 }
 
 // note logs an event, at most once in noteInterval, with the number of times that it
-// was seen since it was last logged.
-func (l *Listener) note(event string, about any) {
+// was seen since it was last logged. fields are those of the line.
+func (l *Listener) note(event string, about any, fields ...any) {
 	if l.limits.Log == nil {
 		return
 	}
@@ -318,8 +322,12 @@
 	if now.Sub(n.logged) < noteInterval {
 		return
 	}
+	level := slog.LevelWarn
+	if event == eventEnded {
+		level = slog.LevelInfo // Connections end at all times.
+	}
 	usage := l.limits.Budget.Usage()
-	l.limits.Log.Warn(event, "about", about, "count", n.count, "address", l.Address(),
+	l.limits.Log.With(fields...).Log(context.Background(), level, event, "about", about, "count", n.count, "address", l.Address(),
 		"held-bytes", usage.HeldBytes, "limit-bytes", usage.LimitBytes, "held", usage)
 	n.logged, n.count = now, 0
 }
--- a/listener/room.go
+++ b/listener/room.go
@@ -154,6 +154,9 @@
 	if now := c.waitsFor(time.Now()); now.class != class || class == waitsForServer {
 		return false
 	}
+	c.mu.Lock()
+	c.setEnd(endShed)
+	c.mu.Unlock()
 	c.reset()
 	c.mu.Lock()
 	reading := c.reading
--- a/sizer/sizer.go
+++ b/sizer/sizer.go
@@ -1,5 +1,6 @@
 // Package sizer sets how much the kernel receives for sockets that are not read, and how
-// many connections it completes for listeners that do not accept them.
+// many connections it completes for listeners that do not accept them. It tells how much
+// the kernel still has to send.
 //
 // What the kernel holds in this way counts as memory of the process. A socket whose size
 // is not set grows to megabytes.
@@ -10,6 +11,8 @@
 	"net"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"lagoonstile/rationer"
 )
 
@@ -74,3 +77,27 @@
 	}
 	_ = raw.Control(func(fd uintptr) { _ = syscall.Listen(int(fd), backlog) })
 }
+
+// Unsent returns the number of bytes that were written to a connection and that the other
+// side has not acknowledged, with one for the end of the stream if the connection was
+// closed for writing. It returns false where the kernel does not tell (tcp(7), SIOCOUTQ).
+// What was acknowledged may not have been read.
+func Unsent(conn net.Conn) (bytes int, known bool) {
+	source, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0, false
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return 0, false
+	}
+	err = raw.Control(func(fd uintptr) {
+		var ioctlErr error
+		bytes, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		known = ioctlErr == nil
+	})
+	if err != nil || !known {
+		return 0, false
+	}
+	return bytes, true
+}
