Close an ended connection only when its client has closed it

Cause: a connection was closed once the kernel counted no unsent bytes. Where it does not tell, "not known" was read as "all delivered"; and what the client's kernel has acknowledged, the client need not have read. One more request then resets the connection. Change: an ended connection is closed for writing and read until its client closes it; bounded by the stall time without progress, by what the client sends on, by the end of the grace, and by room, for which it is the first to go. A stop refuses new connections once none is in use and then waits for the ended ones. The same for all listeners and for the daemon's drain. TestAnswersAreWholeBehindAnEnd closes its connection at the end now, since that is what ends it; its other checks stay.

--- a/cmd/standin/rehearser/stop_test.go
+++ b/cmd/standin/rehearser/stop_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"log/slog"
+	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -81,6 +85,56 @@
 	}
 }
 
+// TestStopAwaitsClientsWithinItsGrace guards against a stop that cuts an answer which a
+// client has not read yet, and against one that waits for a client that never closes its
+// connection until the process is killed.
+func TestStopAwaitsClientsWithinItsGrace(t *testing.T) {
+	t.Parallel()
+	tests := []struct {
+		name string
+		// readsAfter is when the client reads its answer, or 0 if it never does.
+		readsAfter time.Duration
+		// atLeast is how long the stop must take.
+		atLeast time.Duration
+	}{
+		{"client reads late", 4500 * time.Millisecond, 4500 * time.Millisecond},
+		{"client never reads", 0, 5 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			tb := newTestbed(t, 1)
+			stopping := tb.instances[0]
+			conn, err := net.Dial("tcp", stopping.settings.ClientAddress)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			if _, err := fmt.Fprintf(conn, "GET /look/7 HTTP/1.1\r\nHost: %s\r\nX-Request-Id: late-reader\r\nX-Deadline-Ms: 5000\r\nConnection: close\r\n\r\n", "shop.example"); err != nil {
+				t.Fatal(err)
+			}
+			var reading sync.WaitGroup
+			if test.readsAfter > 0 {
+				reading.Go(func() {
+					time.Sleep(test.readsAfter)
+					if answer, err := io.ReadAll(conn); err != nil || !strings.HasPrefix(string(answer), "HTTP/1.1 200 ") {
+						t.Errorf("answer %q, error %v; want a whole one", answer, err)
+					}
+					_ = conn.Close()
+				})
+			}
+			began := time.Now()
+			stopping.running.Leave()
+			took := time.Since(began)
+			stopping.running = nil
+			reading.Wait()
+			if took < test.atLeast || took > stopping.settings.Grace {
+				t.Errorf("the stop took %v, want %v to %v", took, test.atLeast, stopping.settings.Grace)
+			}
+		})
+	}
+}
+
 // slowLog is a log that takes 200 ms to write that an instance has left.
 type slowLog struct{ slog.Handler }
 
--- a/listener/conn.go
+++ b/listener/conn.go
@@ -72,10 +72,8 @@
 	// received is set once bytes were received.
 	received bool
 	// closed is set when no more bytes can be received, and ended when no other request
-	// must be answered. An ended connection is closed once its client has received what
-	// was written, but not before lingerUntil.
+	// must be answered.
 	closed, ended bool
-	lingerUntil   time.Time
 	// end is how the connection was closed after it had ended.
 	end end
 }
@@ -186,7 +184,7 @@
 // holds c.mu.
 func (c *conn) becomeIdle() {
 	if c.received && c.listener.isDraining() {
-		c.beginEnd(time.Time{})
+		c.beginEnd()
 		return
 	}
 	_ = c.SetReadDeadline(time.Now().Add(c.listener.limits.IdleTimeout))
@@ -199,7 +197,9 @@
 	defer c.mu.Unlock()
 	c.waiting = false
 	c.received = true
-	c.share.Begin(rationer.Working)
+	if !c.ended {
+		c.share.Begin(rationer.Working)
+	}
 }
 
 // startReading begins a request, which the budget may revoke until finishReading.
@@ -320,12 +320,8 @@
 		c.listener.handler.ServeHTTP(w, x.req.WithContext(ctx))
 	}
 	w.finish()
-	switch {
-	case w.keepsConnection():
-	case x.failure != nil:
-		c.endAfter(lingerTime) // The client may still be sending its request.
-	default:
-		c.endAfter(0)
+	if !w.keepsConnection() {
+		c.endAfterResponse()
 	}
 }
 
@@ -395,21 +391,24 @@
 // c.mu.
 func (c *conn) idle() bool { return len(c.exchanges) == 0 && c.waiting }
 
-// busy reports whether a request is being read or is in flight, or the client has not
-// received all of the responses of an ended connection. A closed connection is not busy,
-// although its last exchange may still run.
+// busy reports whether a request is being read or is in flight. A closed connection is
+// not busy, although its last exchange may still run.
 func (c *conn) busy() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended && len(c.exchanges) == 0 {
-		return !c.closed && (c.unsent() > endBytes || time.Now().Before(c.lingerUntil))
-	}
-	return !c.closed && !c.idle()
+	return !c.closed && !c.idle() && !c.isEnding()
 }
 
-// used reports whether bytes were received.
+// used reports whether bytes were received and the connection has not ended.
 func (c *conn) used() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.received
+	return c.received && !c.isEnding()
+}
+
+// ending is isEnding for callers that do not hold c.mu.
+func (c *conn) ending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isEnding()
 }
--- a/listener/ending.go
+++ b/listener/ending.go
@@ -10,50 +10,66 @@
 )
 
 // How connections end. A connection that is closed while its client sends something is
-// reset, which costs the client what it has not received of earlier responses (RFC 9112,
-// section 9.6). A connection is therefore first closed for writing only. It is read, and
-// what is read dropped, until the client has received everything.
+// reset, which costs the client what it has not read of earlier responses (RFC 9112,
+// section 9.6). Nothing but the client's own end of the connection shows that it has read
+// them: not every kernel tells what was acknowledged, and what was acknowledged may not
+// have been read. A connection is therefore closed for writing only. It is read, and what
+// is read dropped, until its client closes it, or one of the reasons of endReason holds.
 
 // Bounds of a connection that has ended.
 const (
-	// lingerTime is how long a connection is read after a response to a request that its
-	// client may still be sending, and lingerBytes how much of any connection is dropped.
-	lingerTime  = time.Second
+	// lingerBytes is how much of an ended connection is dropped.
 	lingerBytes = 16 << 20
-	// minLingerPause and maxLingerPause are the times between two looks at what the
-	// client has received. They double from look to look.
-	minLingerPause = time.Millisecond
-	maxLingerPause = 100 * time.Millisecond
-	// endBytes is what the end of a connection counts among the bytes that were written.
-	endBytes = 1
+	// progressInterval is the time between two looks at what the client has received.
+	progressInterval = time.Second
 )
 
-// endAfter ends the connection after its last response, but not before some time.
-func (c *conn) endAfter(linger time.Duration) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.beginEnd(time.Now().Add(linger))
+// endReason is why an ended connection was closed.
+type endReason string
+
+// The reasons for closing an ended connection.
+const (
+	endLeft    endReason = "client-left"     // The client has closed or reset it.
+	endStalled endReason = "stalled"         // The client has received nothing more in time.
+	endFlooded endReason = "client-sends-on" // The client has sent more than lingerBytes.
+	endShed    endReason = "room-wanted"     // Another connection needs its descriptor or memory.
+	endClosed  endReason = "listener-closed" // The process stops.
+)
+
+// end is how an ended connection was closed.
+type end struct {
+	reason endReason
+	// unsent is the number of bytes that the client had not acknowledged, if known is set.
+	unsent int
+	known  bool
 }
 
 // beginEnd closes the connection for writing and leaves the rest to the reading
 // goroutine, which stops reading requests. It closes the connection at once if the memory
 // is needed. The caller holds c.mu.
-func (c *conn) beginEnd(lingerUntil time.Time) {
+func (c *conn) beginEnd() {
 	if c.ended {
 		return
 	}
 	c.ended, c.waiting = true, false
-	c.lingerUntil = lingerUntil
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok || c.giveUp {
+		c.setEnd(endShed)
 		_ = c.Close()
 		return
 	}
-	c.share.Begin(rationer.Idle)
+	c.share.Begin(rationer.Ending)
 	_ = tcp.CloseWrite()
 	_ = c.SetReadDeadline(time.Unix(1, 0))
 }
 
+// endAfterResponse ends the connection after its last response.
+func (c *conn) endAfterResponse() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.beginEnd()
+}
+
 // hasEnded reports whether no other request must be answered.
 func (c *conn) hasEnded() bool {
 	c.mu.Lock()
@@ -65,7 +81,7 @@
 // client has left, or because it has sent nothing in time.
 func (c *conn) leave(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.endAfter(0)
+		c.endAfterResponse()
 		return
 	}
 	c.markClosed()
@@ -81,8 +97,8 @@
 	c.cancel()
 }
 
-// awaitEnd waits until all exchanges have ended, and until the client has received what
-// was written. It notices if the client leaves.
+// awaitEnd waits until all exchanges have ended, and until the client has closed the
+// connection or has had its time. It notices if the client leaves.
 func (c *conn) awaitEnd() {
 	c.mu.Lock()
 	drained := make(chan struct{})
@@ -119,64 +135,31 @@
 
 // delivery is what the client of an ended connection has received.
 type delivery struct {
-	// unsent is the number of bytes that it had not at the last look, and since when
-	// there are not more of them.
+	// unsent is the number of bytes that it had not at the last progress, and since when
+	// there was none. Where the number is not known, there is no progress.
 	unsent int
 	since  time.Time
-	// pause is the time until the next look.
-	pause time.Duration
 }
 
 // linger reports whether an ended connection must stay open, and sets the read deadline
 // to the next look.
 func (c *conn) linger(d *delivery) bool {
-	now, unsent := time.Now(), c.unsent()
-	if d.since.IsZero() || unsent < d.unsent {
+	now := time.Now()
+	unsent, known := c.listener.unsent(c.Conn)
+	if d.since.IsZero() || known && unsent < d.unsent {
 		d.unsent, d.since = unsent, now
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case unsent == 0 && now.After(c.lingerUntil):
-		c.setEnd(endDelivered)
-		return false
-	case now.Sub(d.since) > c.listener.limits.StallTimeout:
+	left := c.listener.limits.StallTimeout - now.Sub(d.since)
+	if left <= 0 {
 		c.setEnd(endStalled)
 		return false
 	}
-	d.pause = min(max(2*d.pause, minLingerPause), maxLingerPause)
-	_ = c.SetReadDeadline(now.Add(d.pause))
+	_ = c.SetReadDeadline(now.Add(min(left, progressInterval)))
 	return true
 }
 
-// unsent returns the number of written bytes that the client has not acknowledged, with
-// endBytes if the connection was closed for writing, or 0 if that is not known.
-func (c *conn) unsent() int {
-	unsent, _ := c.listener.unsent(c.Conn)
-	return unsent
-}
-
-// endReason is why an ended connection was closed.
-type endReason string
-
-// The reasons for closing an ended connection.
-const (
-	endDelivered endReason = "delivered"       // Nothing is unsent.
-	endLeft      endReason = "client-left"     // The client has closed or reset it.
-	endStalled   endReason = "stalled"         // The client has received nothing more in time.
-	endFlooded   endReason = "client-sends-on" // The client has sent more than lingerBytes.
-	endShed      endReason = "room-wanted"     // Another connection needs its descriptor or memory.
-	endClosed    endReason = "listener-closed" // The process stops.
-)
-
-// end is how an ended connection was closed.
-type end struct {
-	reason endReason
-	// unsent is the number of bytes that the client had not acknowledged, if known is set.
-	unsent int
-	known  bool
-}
-
 // setEnd records why an ended connection is closed, unless that is known already. The
 // caller holds c.mu.
 func (c *conn) setEnd(reason endReason) {
@@ -197,6 +180,10 @@
 	}
 }
 
+// isEnding reports whether the connection has ended, no request is in flight and its
+// client has not closed it. The caller holds c.mu.
+func (c *conn) isEnding() bool { return c.ended && len(c.exchanges) == 0 && !c.closed }
+
 // reset closes the connection at once, and with a reset, so that the client cannot take an
 // incomplete response for a complete one. It drops what the client has not received.
 func (c *conn) reset() {
@@ -223,7 +210,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.received && c.idle() {
-		c.beginEnd(time.Time{})
+		c.beginEnd()
 	}
 }
 
@@ -231,7 +218,7 @@
 func (c *conn) closeIfWaiting(rationer.Phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle() || c.ended && len(c.exchanges) == 0 {
+	if c.idle() || c.isEnding() {
 		c.setEnd(endShed)
 		_ = c.Close()
 	}
--- a/listener/ending_test.go
+++ b/listener/ending_test.go
@@ -108,7 +108,8 @@
 			case !test.broken && !errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, syscall.ECONNRESET):
 				t.Errorf("behind the last answer: %d bytes, error %v; want the end of the connection", size, err)
 			}
-			for l.Connections() > 0 {
+			_ = conn.Close()
+			for l.Connections()+l.EndingConnections() > 0 {
 				time.Sleep(time.Millisecond)
 			}
 		})
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -53,7 +53,8 @@
 	// it may send no byte of a body. The value 0 means that of DefaultLimits.
 	HeadTimeout, BodyTimeout time.Duration
 	// StallTimeout is how long a caller may read no byte of a response before its
-	// connection is closed.
+	// connection is closed, and how long an ended connection waits for a caller that
+	// reads nothing more to close it.
 	StallTimeout time.Duration
 	// ReceiveBuffer is the size of a connection's receive buffer, and BodyReceiveBuffer
 	// that while it receives a large body, if the budget has room to spare. The value 0
@@ -231,18 +232,20 @@
 	}
 }
 
+// StopAccepting refuses new connections. Open ones stay.
+func (l *Listener) StopAccepting() { _ = l.tcp.Close() }
+
 // BusyConnections returns the number of connections on which a request is being
-// read or is in flight, or that have ended and whose clients have not received all of
-// the responses.
-func (l *Listener) BusyConnections() int {
-	return l.count((*conn).busy)
-}
+// read or is in flight.
+func (l *Listener) BusyConnections() int { return l.count((*conn).busy) }
 
-// Connections returns the number of open connections from which bytes were
-// received.
-func (l *Listener) Connections() int {
-	return l.count((*conn).used)
-}
+// Connections returns the number of open connections from which bytes were received and
+// that have not ended.
+func (l *Listener) Connections() int { return l.count((*conn).used) }
+
+// EndingConnections returns the number of connections that have ended and that their
+// clients have not closed, so that they may not have read the last responses.
+func (l *Listener) EndingConnections() int { return l.count((*conn).ending) }
 
 // count returns the number of open connections with the property.
 func (l *Listener) count(property func(*conn) bool) int {
--- a/listener/response.go
+++ b/listener/response.go
@@ -310,7 +310,7 @@
 	if r.err == nil {
 		r.err = errAborted
 	}
-	r.conn.endAfter(0)
+	r.conn.endAfterResponse()
 }
 
 // Abort ends the connection of a response writer so that the caller sees that the
--- a/listener/room.go
+++ b/listener/room.go
@@ -95,7 +95,8 @@
 type waitClass int
 
 const (
-	// waitsForEnd: the last response was written.
+	// waitsForEnd: the last response was written, and the client has not closed the
+	// connection.
 	waitsForEnd waitClass = iota
 	// waitsForClient: there is no request, or the client does not get on with it.
 	waitsForClient
@@ -132,7 +133,7 @@
 	class, share := waitsForServer, c.share
 	writing := c.writingSince.Load()
 	switch {
-	case c.ended && len(c.exchanges) == 0:
+	case c.isEnding():
 		class = waitsForEnd
 	case c.idle():
 		class = waitsForClient
@@ -156,11 +157,13 @@
 	}
 	c.mu.Lock()
 	c.setEnd(endShed)
-	c.mu.Unlock()
-	c.reset()
-	c.mu.Lock()
 	reading := c.reading
 	c.mu.Unlock()
+	if class == waitsForEnd {
+		_ = c.Close() // The kernel still sends what it can of the last response.
+	} else {
+		c.reset()
+	}
 	reading.Close()
 	c.share.Close()
 	return true
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -57,6 +57,7 @@
 	Reading Phase = "reading" // Reads a request.
 	Working Phase = "working" // A request is complete and being served.
 	Writing Phase = "writing" // Writes a response that its client does not take.
+	Ending  Phase = "ending"  // Waits for its client to close an ended connection.
 )
 
 // Kind is what a share is held for.
@@ -76,7 +77,7 @@
 
 // Holdings returns the kinds in the phases in which a share of them may be.
 func Holdings() []Holding {
-	return []Holding{{Connection, Idle}, {Connection, Working}, {Request, Reading}, {Request, Working}, {Request, Writing}}
+	return []Holding{{Connection, Idle}, {Connection, Working}, {Connection, Ending}, {Request, Reading}, {Request, Working}, {Request, Writing}}
 }
 
 // Budget is a limit of bytes. The nil budget has no limit.
@@ -362,14 +363,16 @@
 	return limit - b.held
 }
 
-// revokeBehind revokes shares, the one first that holds most for longest with the
-// least progress, until they hold at least need bytes, with those that were revoked
-// before and have not returned theirs. If all together do not hold as much, none is
+// revokeBehind revokes shares, those of ended connections first, and else the one that
+// holds most for longest with the least progress, until they hold at least need bytes,
+// with those that were revoked before and have not returned theirs. If all together do not hold as much, none is
 // revoked. The caller holds b.mu.
 func (b *Budget) revokeBehind(need int64, except *Share) {
 	type candidate struct {
 		share *Share
 		score float64
+		// ending is 1 for an ended connection, and 0 otherwise.
+		ending int
 	}
 	now := time.Now()
 	if now.Sub(b.scanned) < scanInterval {
@@ -384,14 +387,20 @@
 			continue
 		}
 		if score := s.score(now); score > 0 && s != except {
-			candidates = append(candidates, candidate{s, score})
+			next := candidate{share: s, score: score}
+			if s.phase == Ending {
+				next.ending = 1
+			}
+			candidates = append(candidates, next)
 			revocable += s.total()
 		}
 	}
 	if need <= 0 || revocable < need {
 		return
 	}
-	slices.SortFunc(candidates, func(a, c candidate) int { return cmp.Compare(c.score, a.score) })
+	slices.SortFunc(candidates, func(a, c candidate) int {
+		return cmp.Or(cmp.Compare(c.ending, a.ending), cmp.Compare(c.score, a.score))
+	})
 	for _, next := range candidates {
 		if need <= 0 {
 			return
--- a/runner/drain.go
+++ b/runner/drain.go
@@ -10,6 +10,7 @@
 	"lagoonstile/controller"
 	"lagoonstile/dispatcher"
 	"lagoonstile/gossiper"
+	"lagoonstile/listener"
 )
 
 // Timing of a graceful shutdown.
@@ -55,10 +56,9 @@
 	i.awaitIdle(ctx)
 	handoverErr := i.handOver(ctx)
 	i.awaitIdle(ctx)
-	// A request may arrive at any moment until Stop closes the listener.
+	// A request may still arrive on an open connection.
 	i.forwarder.StartDrain(time.Now())
-	for i.callerListener.BusyConnections() > 0 && sleep(ctx, drainPollInterval) {
-	}
+	awaitEnds(ctx, i.callerListener, i.adminListener)
 	busy := i.callerListener.BusyConnections()
 	i.writeAuditOnce(ctx)
 	i.Stop()
@@ -85,10 +85,33 @@
 // awaitIdle waits until no caller is connected, and so no request is in flight,
 // or until the context ends.
 func (i *Instance) awaitIdle(ctx context.Context) {
-	for i.callerListener.Connections() > 0 && sleep(ctx, drainPollInterval) {
+	awaitNone(ctx, i.callerListener.Connections)
+}
+
+// awaitNone waits until a count is 0 or the context ends.
+func awaitNone(ctx context.Context, count func() int) {
+	for count() > 0 && sleep(ctx, drainPollInterval) {
 	}
 }
 
+// awaitEnds makes listeners refuse new connections and ends those that are idle. It waits
+// until no request of the callers is in flight, and until the clients of all listeners
+// have closed the connections that have ended, or until the context ends.
+func awaitEnds(ctx context.Context, callers *listener.Listener, others ...*listener.Listener) {
+	callers.StopAccepting()
+	for _, l := range others {
+		l.StopAccepting()
+		l.StartDrain()
+	}
+	awaitNone(ctx, func() int {
+		open := callers.BusyConnections() + callers.EndingConnections()
+		for _, l := range others {
+			open += l.EndingConnections()
+		}
+		return open
+	})
+}
+
 // handOver sends the order keys to a successor and then waits until peers know
 // the successor.
 func (i *Instance) handOver(ctx context.Context) error {
--- a/runner/handlers.go
+++ b/runner/handlers.go
@@ -136,6 +136,7 @@
 	i.recorder.SetGauge("process.live-bytes", int64(memory.HeapAlloc+memory.StackInuse))
 	i.recorder.SetGauge("process.goroutines", int64(runtime.NumGoroutine()))
 	i.recorder.SetGauge("callers.connections", int64(i.callerListener.Connections()))
+	i.recorder.SetGauge("callers.ending", int64(i.callerListener.EndingConnections()))
 	i.recorder.SetGauge("callers.shed", i.callerListener.Shed())
 	setBudgetGauges(i.recorder, i.budget)
 	i.recorder.SetGauge("peers.connected", int64(len(i.peers.linker.ConnectionNumbers())))
--- a/runner/node.go
+++ b/runner/node.go
@@ -341,6 +341,7 @@
 	n.recorder.SetGauge("plan.version", int64(n.Version()))
 	n.quotas.writeMetrics(n.recorder)
 	n.recorder.SetGauge("callers.connections", int64(n.callerListener.Connections()))
+	n.recorder.SetGauge("callers.ending", int64(n.callerListener.EndingConnections()))
 	n.recorder.SetGauge("callers.shed", n.callerListener.Shed())
 	setBudgetGauges(n.recorder, n.budget)
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
@@ -372,8 +373,9 @@
 // address. After clientAddressTTL, idle connections are closed, and busy ones after
 // their response, and only requests that will end before the deadline of the context
 // are taken. When half of the time that is then left has passed, no more requests are
-// sent to servers. The node stops when no connection is left or the context ends, and
-// takes no request at all in its last moment.
+// sent to servers. When no connection is in use, the node takes no request at all. It stops
+// when the clients have closed all connections, since they may not have read the last
+// responses before, or when the context ends.
 func (n *Node) Drain(ctx context.Context) {
 	n.MarkLeaving()
 	sleep(ctx, clientAddressTTL)
@@ -382,13 +384,11 @@
 		defer time.AfterFunc(time.Until(end)/2, n.allocator.Close).Stop()
 	}
 	n.callerListener.StartDrain()
-	for n.callerListener.Connections() > 0 && sleep(ctx, drainPollInterval) {
-	}
-	// A request may arrive at any moment until Stop closes the listener.
+	awaitNone(ctx, n.callerListener.Connections)
+	// A request may still arrive on an open connection.
 	n.relayer.StartDrain(time.Now())
-	for n.callerListener.BusyConnections() > 0 && sleep(ctx, drainPollInterval) {
-	}
-	n.log.Info("left", "cut", n.callerListener.BusyConnections())
+	awaitEnds(ctx, n.callerListener, n.extraListeners...)
+	n.log.Info("left", "cut", n.callerListener.BusyConnections(), "ending", n.callerListener.EndingConnections())
 	n.Stop()
 }
 
