Read answers while the request is written, and heed its failure

Cause: a reset is reported once. The write took it, its error was dropped, and the read then ended as at an orderly close. The read began after the write. Change: a long request is written while its answer is read. A body that ends with its connection is complete only if the write has not failed. An answer of 300 and more ends the upload, another one waits for it for a second.

--- /dev/null
+++ b/exchanger/early_test.go
@@ -0,0 +1,148 @@
+package exchanger_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"lagoonstile/exchanger"
+)
+
+// earlyServer answers each connection after the head of a request, and then ends it or
+// holds it without a read.
+type earlyServer struct {
+	answer string
+	// after is the time from the answer to the end.
+	after time.Duration
+	// end ends the connection. If it is nil, the connection stays open.
+	end func(conn *net.TCPConn)
+}
+
+// start starts the server and returns its address.
+func (s earlyServer) start(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn.(*net.TCPConn))
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func (s earlyServer) serve(conn *net.TCPConn) {
+	_, _ = http.ReadRequest(bufio.NewReaderSize(conn, 1<<10))
+	_, _ = io.WriteString(conn, s.answer)
+	time.Sleep(s.after)
+	if s.end != nil {
+		s.end(conn)
+		return
+	}
+	time.Sleep(time.Minute)
+}
+
+// reset ends a connection with a reset.
+func reset(conn *net.TCPConn) {
+	_ = conn.SetLinger(0)
+	_ = conn.Close()
+}
+
+// closeOrderly ends a connection without a reset from the side of the program.
+func closeOrderly(conn *net.TCPConn) { _ = conn.Close() }
+
+// upload returns a request with a body.
+func upload(address string, size int) *exchanger.Request {
+	req := request(address)
+	req.Method, req.Body = http.MethodPost, [][]byte{make([]byte, size)}
+	return req
+}
+
+// TestResetDuringUploadBreaksTheAnswer guards against an answer without a length that is
+// broken off by a reset while the request is written, and passes for a complete one.
+func TestResetDuringUploadBreaksTheAnswer(t *testing.T) {
+	const tries = 20
+	const head = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n\r\n"
+	tests := []struct {
+		part, upload int
+		after        time.Duration
+	}{
+		{10, 1 << 20, 0}, {4000, 1 << 20, 0}, {100 << 10, 1 << 20, 0},
+		{4000, 8 << 20, 0}, {4000, 8 << 20, 2 * time.Millisecond}, {4000, 8 << 20, 30 * time.Millisecond},
+		{3 << 20, 8 << 20, 2 * time.Millisecond},
+		{4000, 200 << 10, 0}, {4000, 200 << 10, 30 * time.Millisecond}, {4000, 10, 2 * time.Millisecond},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("part of %d, upload of %d, reset after %v", test.part, test.upload, test.after), func(t *testing.T) {
+			t.Parallel()
+			address := earlyServer{answer: head + strings.Repeat("x", test.part), after: test.after, end: reset}.start(t)
+			complete := 0
+			for range tries {
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				if _, err := readAll(ctx, upload(address, test.upload)); err == nil {
+					complete++
+				}
+				cancel()
+			}
+			if complete > 0 {
+				t.Errorf("%d of %d broken answers passed for complete ones", complete, tries)
+			}
+		})
+	}
+}
+
+// TestEarlyAnswersAreRead guards against answers that are lost because nobody reads them
+// while the server does not read the request.
+func TestEarlyAnswersAreRead(t *testing.T) {
+	const head = "HTTP/1.1 %s\r\nX-Id: 7\r\n"
+	const body = "Content-Length: 4\r\n\r\nbody"
+	const chunks = "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+	tests := []struct {
+		name, answer string
+		end          func(*net.TCPConn)
+		// within is the longest time that the answer may take.
+		within time.Duration
+	}{
+		{"413, held open", fmt.Sprintf(head, "413 Too Large") + body, nil, time.Second},
+		{"413 in chunks, held open", fmt.Sprintf(head, "413 Too Large") + chunks, nil, time.Second},
+		{"413, closed", fmt.Sprintf(head, "413 Too Large") + body, closeOrderly, time.Second},
+		{"413, reset", fmt.Sprintf(head, "413 Too Large") + body, reset, time.Second},
+		{"200, held open", fmt.Sprintf(head, "200 OK") + body, nil, 3 * time.Second},
+		{"200, closed", fmt.Sprintf(head, "200 OK") + body, closeOrderly, 3 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			server := earlyServer{answer: test.answer, end: test.end}
+			if test.end != nil {
+				server.after = 50 * time.Millisecond
+			}
+			address := server.start(t)
+			for _, size := range []int{10, 200 << 10, 16 << 20} {
+				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+				began := time.Now()
+				got, err := readAll(ctx, upload(address, size))
+				if got != "body" || err != nil {
+					t.Errorf("upload of %d bytes: body %q, error %v", size, got, err)
+				}
+				if took := time.Since(began); took > test.within {
+					t.Errorf("upload of %d bytes: the answer took %v, want at most %v", size, took, test.within)
+				}
+				cancel()
+			}
+		})
+	}
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -185,28 +185,30 @@
 	return resp, nil
 }
 
-// roundTrip sends the request on an open connection and reads the response.
+// roundTrip sends the request on an open connection and reads the response. A server may
+// respond before it has read all of a long body. The response is then used although the
+// write goes on or has failed.
 func roundTrip(ctx context.Context, conn net.Conn, req *Request) (*Response, error) {
-	// A server may respond and close the connection before it has read all of a
-	// long body. The response is then used although the write failed.
-	pieces := req.encode()
-	_, writeErr := pieces.WriteTo(conn)
-	resp, err := readResponse(ctx, conn, req)
+	sent := startWrite(conn, req.encode(), req.bodyBytes())
+	resp, err := readResponse(ctx, conn, req, sent)
 	if err != nil {
-		return nil, errors.Join(writeErr, err)
+		return nil, errors.Join(sent.failure(), err)
+	}
+	if resp.Rest == nil && resp.Status < http.StatusMultipleChoices {
+		sent.await(maxEarlyWait)
 	}
 	return resp, nil
 }
 
 // readResponse reads the response to a request, within its limits. What it buffers, and
 // what a large head becomes, is taken from the share in the context.
-func readResponse(ctx context.Context, conn io.Reader, req *Request) (*Response, error) {
+func readResponse(ctx context.Context, conn io.Reader, req *Request, sent *write) (*Response, error) {
 	share, limits := rationer.FromContext(ctx), req.Limits.WithDefaults()
 	checked := &inspector.Reader{Source: conn, Head: inspector.Head{Limits: limits.Head(), Share: share, Context: ctx}}
 	limited := &LimitedReader{Reader: checked, Left: limits.MaxHeadBytes, Err: ErrHeadTooLarge}
 	reader := readers.Get().(*bufio.Reader)
 	reader.Reset(limited)
-	resp, err := readWith(reader, limited, limits, req, share)
+	resp, err := readWith(reader, limited, limits, req, sent, share)
 	if err != nil || resp.Rest == nil {
 		reader.Reset(nil)
 		readers.Put(reader)
@@ -221,7 +223,7 @@
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
 
 // readWith reads the response to a request through a reader of limited.
-func readWith(reader *bufio.Reader, limited *LimitedReader, limits Limits, req *Request, share *rationer.Share) (*Response, error) {
+func readWith(reader *bufio.Reader, limited *LimitedReader, limits Limits, req *Request, sent *write, share *rationer.Share) (*Response, error) {
 	httpResp, err := readFinalHead(reader, req.Method)
 	if err != nil && limited.Left == 0 {
 		return nil, fmt.Errorf("read response head: %w (%d bytes)", ErrHeadTooLarge, limits.MaxHeadBytes)
@@ -239,7 +241,11 @@
 	if checked, ok := limited.Reader.(*inspector.Reader); ok {
 		enlarge(checked.Source, httpResp.ContentLength, share)
 	}
-	return readBody(httpResp, req.Method, share)
+	body := io.Reader(httpResp.Body)
+	if httpResp.ContentLength < 0 && len(httpResp.TransferEncoding) == 0 {
+		body = untilClose{body, sent}
+	}
+	return readBody(httpResp, body, req.Method, share)
 }
 
 // enlarge gives a connection the receive buffer for large bodies, if the body may be
@@ -254,12 +260,18 @@
 // one write sends both.
 const maxCopiedBody = 16 << 10
 
-// encode returns the request in HTTP/1.1 wire format, in pieces.
-func (req *Request) encode() net.Buffers {
+// bodyBytes returns the size of the body.
+func (req *Request) bodyBytes() int {
 	length := 0
 	for _, piece := range req.Body {
 		length += len(piece)
 	}
+	return length
+}
+
+// encode returns the request in HTTP/1.1 wire format, in pieces.
+func (req *Request) encode() net.Buffers {
+	length := req.bodyBytes()
 	var buf bytes.Buffer
 	buf.Grow(typicalHeadBytes + min(length, maxCopiedBody))
 	for _, part := range []string{req.Method, " ", req.URI, " HTTP/1.1\r\nHost: ", req.Host, "\r\nConnection: close\r\n"} {
@@ -311,7 +323,7 @@
 
 // readBody reads the body, up to maxBufferedBody bytes or as much as the share grants,
 // and returns the response.
-func readBody(httpResp *http.Response, method string, share *rationer.Share) (*Response, error) {
+func readBody(httpResp *http.Response, body io.Reader, method string, share *rationer.Share) (*Response, error) {
 	resp := &Response{Status: httpResp.StatusCode, Header: EndToEnd(httpResp.Header), Length: httpResp.ContentLength}
 	switch {
 	case method == http.MethodHead:
@@ -321,7 +333,7 @@
 		return resp, nil
 	}
 	if resp.Length < 0 {
-		if err := readUnknownLength(resp, httpResp.Body, share); err != nil {
+		if err := readUnknownLength(resp, body, share); err != nil {
 			return nil, err
 		}
 		return resp, nil
@@ -331,14 +343,14 @@
 		size = freeBytes
 	}
 	resp.Body = make([]byte, size)
-	if n, err := io.ReadFull(httpResp.Body, resp.Body); err != nil {
+	if n, err := io.ReadFull(body, resp.Body); err != nil {
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		return nil, fmt.Errorf("read response body: after %d bytes: %w", n, err)
 	}
 	if size < resp.Length {
-		resp.Rest = httpResp.Body
+		resp.Rest = body
 	}
 	return resp, nil
 }
--- a/exchanger/fuzz_test.go
+++ b/exchanger/fuzz_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 )
@@ -37,7 +38,8 @@
 			Limits: Limits{MaxHeadBytes: 512, MaxUnknownLengthBytes: 1024},
 		}
 		source := bytes.NewReader(data)
-		resp, err := readResponse(context.Background(), source, req)
+		conn, _ := net.Pipe()
+		resp, err := readResponse(context.Background(), source, req, startWrite(conn, nil, 0))
 		read := len(data) - source.Len()
 		if err != nil {
 			return
