Refuse answers whose heads hold lines that are no fields

Callers saw (MIXED): an answer in whose head the name of a field held a blank, with that line passed on, or with its framing as the body; and one of HTTP/1.0 with chunks, whose framing was the body. Cause: http.ReadResponse lets blanks stand in names, joins folded lines and ignores a transfer coding in HTTP/1.0. Lines of requests were judged, those of answers were not. Change: package inspector judges both. Answers are judged as they are received: on the platform's and the daemon's path, and those of the store, the log, the instance list and peers. Trailers and the reason phrase are not: they are not passed on.

--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -80,6 +80,16 @@
 		{name: "not HTTP", response: "\x00\x01garbage\r\n\r\n"},
 		{name: "empty", response: ""},
 		{name: "incomplete head", response: head},
+		{name: "blank before the colon of a length", response: head + "Content-Length : 4\r\n\r\ngood"},
+		{name: "blank before the colon of a coding", response: head + "Transfer-Encoding : chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n"},
+		{name: "blank in a name", response: head + "X Odd: v\r\nContent-Length: 4\r\n\r\ngood"},
+		{name: "control byte in a name", response: head + "X\x01: v\r\nContent-Length: 4\r\n\r\ngood"},
+		{name: "carriage return in a value", response: head + "X-Odd: a\rb\r\nContent-Length: 4\r\n\r\ngood"},
+		{name: "length with a sign", response: head + "Content-Length: +4\r\n\r\ngood"},
+		{name: "coding in HTTP/1.0", response: "HTTP/1.0 200 OK\r\nX-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n"},
+		{name: "blank in a name of an interim response", response: "HTTP/1.1 103 Early Hints\r\nX Odd: v\r\n\r\n" + head + "Content-Length: 4\r\n\r\ngood"},
+		{name: "blank in a name of a trailer, which is dropped", response: head + "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\nX Odd: v\r\n\r\n", body: "good"},
+		{name: "control byte in the reason, which is ignored", response: "HTTP/1.1 200 O\x01K\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\ngood", body: "good"},
 	}
 	for _, test := range tests {
 		address, requests := serve(t, test.response, test.reset)
--- a/forwarder/faulty_test.go
+++ b/forwarder/faulty_test.go
@@ -117,3 +117,49 @@
 	}()
 	return l.Addr().String()
 }
+
+// TestMalformedHeadsAreNotForwarded guards against answers whose head holds lines that are
+// no fields: they would be passed on, or frame another body than the server's.
+func TestMalformedHeadsAreNotForwarded(t *testing.T) {
+	t.Parallel()
+	const head = "HTTP/1.1 200 OK\r\n"
+	const framed = "Content-Length: 4\r\n\r\ngood"
+	tests := []struct {
+		name, answer string
+		want         int
+	}{
+		{"whole", head + framed, http.StatusOK},
+		{"blank before the colon of a length", head + "Content-Length : 4\r\nContent-Length: 4\r\n\r\ngood", http.StatusBadGateway},
+		{"blank before the colon of a coding", head + "Transfer-Encoding : chunked\r\nContent-Length: 14\r\n\r\n4\r\ngood\r\n0\r\n\r\n", http.StatusBadGateway},
+		{"blank in a name", head + "X Odd: v\r\n" + framed, http.StatusBadGateway},
+		{"control byte in a name", head + "X\x01: v\r\n" + framed, http.StatusBadGateway},
+		{"folded line", head + "X-Odd: v\r\n w\r\n" + framed, http.StatusBadGateway},
+		{"carriage return in a value", head + "X-Odd: a\rb\r\n" + framed, http.StatusBadGateway},
+		{"length with a sign", head + "Content-Length: +4\r\n\r\ngood", http.StatusBadGateway},
+		{"coding in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 14\r\n\r\n4\r\ngood\r\n0\r\n\r\n", http.StatusBadGateway},
+		{"blank in a name of an interim answer", "HTTP/1.1 103 Early Hints\r\nX Odd: v\r\n\r\n" + head + framed, http.StatusBadGateway},
+		{"blank in a name of a trailer, which is dropped", head + "Transfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\nX Odd: v\r\n\r\n", http.StatusOK},
+		{"control byte in the reason, which is ignored", "HTTP/1.1 200 O\x01K\r\n" + framed, http.StatusOK},
+	}
+	for _, test := range tests {
+		// Orders use connections of their own, and lookups kept ones.
+		for _, idempotent := range []bool{false, true} {
+			fix := newFixture(t, idempotent, sendBytes(func() string { return test.answer }))
+			header := order
+			method := http.MethodPost
+			if idempotent {
+				header, method = nil, http.MethodGet
+			}
+			res, body, err := fix.send(t, method, header)
+			if err != nil || res.StatusCode != test.want {
+				t.Errorf("%s, idempotent %v: %v, %v, body %q; want status %d", test.name, idempotent, err, res, body, test.want)
+			}
+			if err == nil && test.want == http.StatusOK && string(body) != "good" {
+				t.Errorf("%s, idempotent %v: body %q", test.name, idempotent, body)
+			}
+			if received := fix.received[0].Load(); received != 1 {
+				t.Errorf("%s, idempotent %v: the server received %d requests, want 1", test.name, idempotent, received)
+			}
+		}
+	}
+}
--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -1,11 +1,14 @@
-// Package inspector checks the heads of HTTP responses before they are parsed.
+// Package inspector checks the heads of HTTP messages before they are parsed.
 //
 // A parser keeps what a head becomes, which is many times its bytes if it has many short
-// fields. A Head therefore looks at the bytes of a response as they are received. It fails
-// at the first field beyond the limit, and takes the memory that the head becomes from the
-// share of its request. It keeps nothing of what it has seen.
+// fields, and it passes lines that no field can be. A Head therefore looks at the bytes of
+// a response as they are received. It fails at the first line that is malformed (RFC 9112,
+// sections 5 and 6.1), or that exceeds the limits, and takes the memory that the head
+// becomes from the share of its request. It keeps nothing of what it has seen. CheckField
+// checks a line of a request in the same way.
 //
-// Trailers are not checked: they are dropped (RFC 9110, section 6.5.1).
+// Neither the reason phrase nor trailers are checked: the former is ignored (RFC 9112,
+// section 4), and the latter are dropped (RFC 9110, section 6.5.1).
 package inspector
 
 import (
@@ -19,6 +22,7 @@
 
 // Errors of heads. They are wrapped.
 var (
+	ErrMalformed     = errors.New("malformed head")
 	ErrTooManyFields = errors.New("head has too many fields")
 	ErrNoMemory      = errors.New("no memory for the head")
 )
@@ -51,7 +55,8 @@
 const (
 	statusLine part = iota
 	lineStart
-	field
+	fieldName
+	fieldValue
 	// body is what follows the final head.
 	body
 )
@@ -67,19 +72,22 @@
 	Context context.Context
 
 	part part
-	// line holds the start of a status line. size is the length of the line so far.
-	line [len("HTTP/1.1 101")]byte
+	// line holds the start of a status line or of a field's name. size is the length of
+	// the line so far.
+	line [len("transfer-encoding") + 1]byte
 	size int
+	// afterCR is set if the last byte was a carriage return.
+	afterCR bool
 	// fields counts the fields of a head, and bytes the bytes of all heads.
 	fields, bytes int
-	// interim is set if another head follows.
-	interim bool
-	taken   int64
+	// old is set for HTTP/1.0, and interim if another head follows.
+	old, interim bool
+	taken        int64
 }
 
 // Check checks the next bytes of a response and returns how many of them may be passed on.
 // They are fewer than all only with an error, and never complete a head then. The error
-// wraps ErrTooManyFields or ErrNoMemory, after which Check must not be
+// wraps ErrMalformed, ErrTooManyFields or ErrNoMemory, after which Check must not be
 // called.
 func (h *Head) Check(p []byte) (int, error) {
 	if h.part == body {
@@ -124,13 +132,19 @@
 // next checks one byte of a head.
 func (h *Head) next(b byte) error {
 	h.bytes++
-	switch {
-	case h.part == statusLine:
-		h.nextOfStatus(b)
-	case h.part == lineStart:
+	if h.afterCR && b != '\n' && h.part != statusLine {
+		return fmt.Errorf("%w: carriage return in field %d", ErrMalformed, h.fields)
+	}
+	h.afterCR = b == '\r'
+	switch h.part {
+	case statusLine:
+		return h.nextOfStatus(b)
+	case lineStart:
 		return h.startLine(b)
-	case b == '\n':
-		h.endLine()
+	case fieldName:
+		return h.nextOfName(b)
+	case fieldValue:
+		return h.nextOfValue(b)
 	}
 	return nil
 }
@@ -147,15 +161,17 @@
 func (h *Head) start() []byte { return h.line[:min(h.size, len(h.line))] }
 
 // nextOfStatus checks a byte of the status line. The parser checks its form.
-func (h *Head) nextOfStatus(b byte) {
+func (h *Head) nextOfStatus(b byte) error {
 	if b != '\n' {
 		h.keep(b)
-		return
+		return nil
 	}
 	const classAt = len("HTTP/1.1 ")
 	start := h.start()
+	h.old = bytes.HasPrefix(start, []byte("HTTP/1.0"))
 	h.interim = len(start) > classAt && start[classAt] == '1' && !bytes.HasPrefix(start[classAt:], []byte("101"))
 	h.endLine()
+	return nil
 }
 
 // endLine begins the next line.
@@ -178,7 +194,37 @@
 	if limit := h.Limits.withDefaults().MaxFields; h.fields > limit {
 		return fmt.Errorf("%w: more than %d", ErrTooManyFields, limit)
 	}
-	h.part = field
+	h.part = fieldName
+	return h.nextOfName(b)
+}
+
+// nextOfName checks a byte of a field's name or the colon behind it.
+func (h *Head) nextOfName(b byte) error {
+	if b != ':' {
+		h.keep(b)
+		if !isTokenByte(b) {
+			return fmt.Errorf("%w: byte %#02x in the name of field %d", ErrMalformed, b, h.fields)
+		}
+		return nil
+	}
+	switch name := h.start(); {
+	case len(name) == 0:
+		return fmt.Errorf("%w: field %d has no name", ErrMalformed, h.fields)
+	case h.old && bytes.EqualFold(name, []byte("transfer-encoding")):
+		return fmt.Errorf("%w: transfer coding in HTTP/1.0", ErrMalformed)
+	}
+	h.part = fieldValue
+	return nil
+}
+
+// nextOfValue checks a byte of a field's value.
+func (h *Head) nextOfValue(b byte) error {
+	switch {
+	case b == '\n':
+		h.endLine()
+	case b != '\r' && !isValueByte(b):
+		return fmt.Errorf("%w: byte %#02x in the value of field %d", ErrMalformed, b, h.fields)
+	}
 	return nil
 }
 
@@ -189,3 +235,33 @@
 	}
 	return l
 }
+
+// CheckField checks a field line without its line break: a name that is a token, directly
+// before a colon, and a value without control characters (RFC 9110, sections 5.1 and 5.5).
+// The error is ErrMalformed.
+func CheckField(line []byte) error {
+	colon := bytes.IndexByte(line, ':')
+	if colon < 1 {
+		return ErrMalformed
+	}
+	for _, b := range line[:colon] {
+		if !isTokenByte(b) {
+			return ErrMalformed
+		}
+	}
+	for _, b := range line[colon+1:] {
+		if !isValueByte(b) {
+			return ErrMalformed
+		}
+	}
+	return nil
+}
+
+// isTokenByte reports whether a byte may stand in a token (RFC 9110, section 5.6.2).
+func isTokenByte(b byte) bool {
+	return b > ' ' && b < 0x7f && bytes.IndexByte([]byte("\"(),/:;<=>?@[\\]{}"), b) < 0
+}
+
+// isValueByte reports whether a byte may stand in the value of a field (RFC 9110, section
+// 5.5).
+func isValueByte(b byte) bool { return b >= ' ' && b != 0x7f || b == '\t' }
--- a/listener/request.go
+++ b/listener/request.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"lagoonstile/answerer"
+	"lagoonstile/inspector"
 	"lagoonstile/rationer"
 	"lagoonstile/sizer"
 )
@@ -288,7 +289,7 @@
 	for line := range bytes.Lines(fields) {
 		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
 		switch {
-		case len(line) > 0 && !isValidField(line):
+		case len(line) > 0 && inspector.CheckField(line) != nil:
 			return nil, errors.New("malformed header line")
 		case isField(line, "host"):
 			hosts++
@@ -319,26 +320,6 @@
 	return req, nil
 }
 
-// isValidField reports whether a header line has a name that is a token, and a value
-// without control characters (RFC 9110, sections 5.1 and 5.5).
-func isValidField(line []byte) bool {
-	colon := bytes.IndexByte(line, ':')
-	if colon < 1 {
-		return false
-	}
-	for _, c := range line[:colon] {
-		if c <= ' ' || c >= 0x7f || strings.IndexByte("\"(),/;<=>?@[\\]{}", c) >= 0 {
-			return false
-		}
-	}
-	for _, c := range line[colon+1:] {
-		if c < ' ' && c != '\t' || c == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
 // isField reports whether a header line has the name, which is in lower case.
 func isField(line []byte, name string) bool {
 	return len(line) > len(name) && line[len(name)] == ':' && bytes.EqualFold(line[:len(name)], []byte(name))
@@ -505,7 +486,7 @@
 		switch {
 		case ok && len(field) == 0:
 			return nil
-		case !ok || !isValidField(field):
+		case !ok || inspector.CheckField(field) != nil:
 			return errors.New("malformed trailer")
 		}
 		size += len(line)
