Let a request go on behind an early success while it makes progress

Cause: since answers are read while the request is written, an answer of 2xx cut the rest of the request after a second, although its server may read it later and slowly. Change: such an answer waits for the request as long as it makes progress, and a second without any.

--- a/exchanger/early_test.go
+++ b/exchanger/early_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -146,3 +147,29 @@
 		})
 	}
 }
+
+// TestEarlyAnswerLeavesTheRequestWhole checks that a server which answers at once, and
+// reads a long body later and slowly, gets all of it.
+func TestEarlyAnswerLeavesTheRequestWhole(t *testing.T) {
+	t.Parallel()
+	const size, pieces = 16 << 20, 32
+	var received atomic.Int64
+	address := earlyServer{answer: "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\nbody", end: func(conn *net.TCPConn) {
+		for n, err := int64(0), error(nil); err == nil; received.Add(n) {
+			n, err = io.CopyN(io.Discard, conn, size/pieces)
+			time.Sleep(2 * time.Second / pieces)
+		}
+	}}.start(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	if got, err := readAll(ctx, upload(address, size)); got != "body" || err != nil {
+		t.Fatalf("body %q, error %v", got, err)
+	}
+	// A part was read with the head.
+	for end := time.Now().Add(10 * time.Second); received.Load() < size-size/pieces && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if n := received.Load(); n < size-size/pieces {
+		t.Errorf("the server received %d of %d bytes", n, size)
+	}
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -195,7 +195,7 @@
 		return nil, errors.Join(sent.failure(), err)
 	}
 	if resp.Rest == nil && resp.Status < http.StatusMultipleChoices {
-		sent.await(maxEarlyWait)
+		sent.await()
 	}
 	return resp, nil
 }
