Keep an earlier answer when a request is refused for want of memory

Cause: a connection whose request was given up to free its memory was closed at once after the refusal. A client that still sends is then reset, and loses what it has not read of earlier answers, and the refusal.

--- a/listener/ending.go
+++ b/listener/ending.go
@@ -45,16 +45,14 @@
 }
 
 // beginEnd closes the connection for writing and leaves the rest to the reading
-// goroutine, which stops reading requests. It closes the connection at once if the memory
-// is needed. The caller holds c.mu.
+// goroutine, which stops reading requests. The caller holds c.mu.
 func (c *conn) beginEnd() {
 	if c.ended {
 		return
 	}
 	c.ended, c.waiting = true, false
 	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok || c.giveUp {
-		c.setEnd(endShed)
+	if !ok {
 		_ = c.Close()
 		return
 	}
--- a/listener/lingering_test.go
+++ b/listener/lingering_test.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -10,6 +11,7 @@
 	"testing"
 	"time"
 
+	"lagoonstile/rationer"
 	"lagoonstile/sizer"
 )
 
@@ -198,3 +200,49 @@
 		})
 	}
 }
+
+// TestAnswerIsWholeBeforeOneThatIsGivenUp guards against an answer that is lost because
+// the next request of its connection is refused for want of memory.
+func TestAnswerIsWholeBeforeOneThatIsGivenUp(t *testing.T) {
+	t.Parallel()
+	const size = 300_000
+	l := startRoom(t, Limits{}, 64<<20, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, strings.Repeat("x", size))
+	}))
+	unfinished := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\nx"
+	conn := sendSlow(t, l, ordinary+unfinished)
+	for !l.giveUpReading() {
+		time.Sleep(time.Millisecond)
+	}
+	reader := bufio.NewReader(conn)
+	for _, want := range []int{http.StatusOK, http.StatusServiceUnavailable} {
+		time.Sleep(20 * time.Millisecond) // The request is refused.
+		_, _ = io.WriteString(conn, "xxxx")
+		time.Sleep(20 * time.Millisecond)
+		res, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, res.Body); err != nil || res.StatusCode != want || want == http.StatusOK && n != size {
+			t.Errorf("status %d with %d bytes, error %v; want status %d", res.StatusCode, n, err, want)
+		}
+	}
+}
+
+// giveUpReading takes the memory of a request that is being read. It returns false if
+// there is none.
+func (l *Listener) giveUpReading() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		c.mu.Lock()
+		share := c.reading
+		written := len(c.exchanges) == 0
+		c.mu.Unlock()
+		if share != nil && written {
+			go c.revoke(share, rationer.Reading)
+			return true
+		}
+	}
+	return false
+}
