Bound the answer to the handshake of a link

Cause: what a peer's address answers to a dial was parsed and kept until the dial timed out, after a second. A head without end has no limit there. Change: a dialed connection may send 8 KB before its upgrade, like an accepted one. Links are the daemon's; instances on the platform have none. Evidence: TestEndlessAnswerToDialIsNotRead failed before (closed after 1.01 s); TestDaemonEndlessAnswersOfPeers, eight such peers at 96 MB, killed the process at 107 MB in one of two runs before, and peaks at 16 MB.

--- a/cmd/standin/crowder/daemon_test.go
+++ b/cmd/standin/crowder/daemon_test.go
@@ -40,23 +40,10 @@
 // at each address.
 func startDaemonsWith(t *testing.T, count int, with setup, wide []string) []*instance {
 	t.Helper()
-	fleet, err := emulator.StartPlatform("127.0.0.1:0", time.Hour, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(fleet.Stop)
-	server := startServer(t)
-	publish(t, fleet, server, wide)
+	f := startFleet(t, wide)
 	var instances []*instance
 	for n := range count {
-		i := newDaemon(t, n+1, fleet.URL(), with)
-		i.server = server
-		fleet.Instances.Set(lagoonstile.Instance{
-			ID: lagoonstile.InstanceID(daemonName(n + 1)), State: lagoonstile.InstanceLive, FailureDomain: "zone-1",
-			CallerAddress: i.address, PeerAddress: i.peers, AdminAddress: i.operators,
-		})
-		i.run()
-		instances = append(instances, i)
+		instances = append(instances, f.startDaemon(n+1, with))
 	}
 	for _, i := range instances {
 		i.awaitAnswer()
@@ -64,6 +51,40 @@
 	return instances
 }
 
+// fleet is the platform of instances of the daemon, with a server.
+type fleet struct {
+	*emulator.Platform
+	t      *testing.T
+	server *server
+}
+
+// startFleet starts a fleet without instances, whose services are published. wide holds
+// the addresses of the servers for pathWide.
+func startFleet(t *testing.T, wide []string) *fleet {
+	t.Helper()
+	services, err := emulator.StartPlatform("127.0.0.1:0", time.Hour, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(services.Stop)
+	f := &fleet{Platform: services, t: t, server: startServer(t)}
+	publish(t, services, f.server, wide)
+	return f
+}
+
+// startDaemon starts an instance, which gets a number, and lists it.
+func (f *fleet) startDaemon(number int, with setup) *instance {
+	f.t.Helper()
+	i := newDaemon(f.t, number, f.URL(), with)
+	i.server = f.server
+	f.Instances.Set(lagoonstile.Instance{
+		ID: lagoonstile.InstanceID(daemonName(number)), State: lagoonstile.InstanceLive, FailureDomain: "zone-1",
+		CallerAddress: i.address, PeerAddress: i.peers, AdminAddress: i.operators,
+	})
+	i.run()
+	return i
+}
+
 // startDaemonOf starts an instance whose log and instance list are at a URL.
 func startDaemonOf(t *testing.T, url string, with setup) *instance {
 	t.Helper()
--- a/cmd/standin/crowder/wide_test.go
+++ b/cmd/standin/crowder/wide_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"lagoonstile"
 	"lagoonstile/cmd/standin/emulator"
 )
 
@@ -221,3 +222,21 @@
 		})
 	}
 }
+
+// TestDaemonEndlessAnswersOfPeers guards against instances of the list whose addresses
+// answer the handshake of a link without end.
+func TestDaemonEndlessAnswersOfPeers(t *testing.T) {
+	faulty := startRawServer(t, 8)
+	faulty.send("HTTP/1.1 101 Switching Protocols\r\n" + wideFields(64<<20))
+	fleet := startFleet(t, nil)
+	for n, address := range faulty.addresses {
+		fleet.Instances.Set(lagoonstile.Instance{
+			ID: lagoonstile.InstanceID(fmt.Sprintf("faulty-%d", n)), State: lagoonstile.InstanceLive, FailureDomain: "zone-1",
+			CallerAddress: address, PeerAddress: address, AdminAddress: address,
+		})
+	}
+	i := fleet.startDaemon(1, machine(t))
+	i.awaitAnswer()
+	time.Sleep(3 * wideHeldTime) // The process dials again and again.
+	i.check()
+}
--- a/linker/handshakes.go
+++ b/linker/handshakes.go
@@ -17,11 +17,11 @@
 	handshakeTimeout  = 4 * time.Second
 )
 
-// handshakes holds the accepted connections that were not upgraded yet. The zero value
-// is ready to use.
+// handshakes holds the connections that were not upgraded yet: the accepted ones, or those
+// that are dialed. The zero value is ready to use.
 type handshakes struct {
 	mu sync.Mutex
-	// conns has no more than maxHandshakes entries, by remote address.
+	// conns has no more than maxHandshakes accepted connections, by remote address.
 	conns map[string]*handshake
 	// opened counts the connections.
 	opened uint64
@@ -29,6 +29,7 @@
 
 // handshake is the state of a connection before its upgrade.
 type handshake struct {
+	// conn is nil if it is dialed.
 	conn net.Conn
 	// number is the position among all connections, in the order in which they were
 	// opened.
@@ -68,6 +69,22 @@
 	return oldest.conn
 }
 
+// dial adds a connection that is opened to an address, and returns the function that
+// removes it.
+func (h *handshakes) dial(address string) (finish func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.conns == nil {
+		h.conns = make(map[string]*handshake)
+	}
+	h.conns[address] = &handshake{}
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		delete(h.conns, address)
+	}
+}
+
 // receive counts bytes of a connection. It returns false if it has sent too many before
 // its upgrade.
 func (h *handshakes) receive(conn net.Conn, bytes int) bool {
--- a/linker/link.go
+++ b/linker/link.go
@@ -78,6 +78,7 @@
 		headerInstance:    []string{string(link.linker.self)},
 		headerIncarnation: []string{string(link.linker.incarnation)},
 	}
+	defer link.linker.dials.dial(link.address)()
 	conn, _, err := dialer.Dial("ws://"+link.address+peerPath, header)
 	if err != nil {
 		return nil, fmt.Errorf("dial %s at %s: %w", link.peer, link.address, err)
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -131,7 +131,10 @@
 	// inbound holds the connections that peers dialed.
 	inbound map[*websocket.Conn]struct{}
 
+	// handshakes holds the accepted connections before their upgrade, and dials those that
+	// are dialed.
 	handshakes   handshakes
+	dials        handshakes
 	reservations reservations
 }
 
@@ -169,6 +172,13 @@
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	l.client = nbhttp.NewEngine(engineConfig(nil, nil))
+	l.client.Engine.OnData(func(conn *nbio.Conn, data []byte) {
+		if !l.dials.receive(conn, len(data)) {
+			_ = conn.Close()
+			return
+		}
+		conn.DataHandler()(conn, data)
+	})
 	if err := l.client.Start(); err != nil {
 		l.server.Stop()
 		return nil, fmt.Errorf("start client engine: %w", err)
--- a/linker/strangers_test.go
+++ b/linker/strangers_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
 	"testing"
 	"time"
+
+	"lagoonstile"
 )
 
 // TestStrangersDoNotKeepPeersOut opens many connections that send nothing, or a head
@@ -36,3 +39,31 @@
 	a.linker.SetPeers(instanceList(b, "b"))
 	await(t, "a is connected to b", func() bool { return a.linker.ConnectionNumbers()["b"] > 0 })
 }
+
+// TestEndlessAnswerToDialIsNotRead guards against a peer's address whose answer to the
+// handshake never ends, and is kept until the dial times out.
+func TestEndlessAnswerToDialIsNotRead(t *testing.T) {
+	const within = 500 * time.Millisecond // The dial may take a second.
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	a := start(t, "127.0.0.1:0", "a", "b")
+	defer a.linker.Close()
+	a.linker.SetPeers([]lagoonstile.Instance{{ID: "b", State: lagoonstile.InstanceLive, PeerAddress: ln.Addr().String()}})
+	conn, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	began := time.Now()
+	_ = conn.SetWriteDeadline(began.Add(10 * time.Second))
+	_, err = io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\n")
+	for n := 0; err == nil; n++ {
+		_, err = fmt.Fprintf(conn, "X-%d: value\r\n", n)
+	}
+	if took := time.Since(began); took > within {
+		t.Errorf("the connection was closed after %v, want at most %v", took, within)
+	}
+}
