--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -4,7 +4,7 @@
 // fields, and it passes lines that no field can be. A Head therefore looks at the bytes of
 // a response as they are received. It fails at the first line that is malformed (RFC 9112,
 // sections 5 and 6.1), or that exceeds the limits, and takes the memory that the head
-// becomes from the share of its request. It keeps nothing of what it has seen. CheckField
+// becomes from its request's. It keeps nothing of what it has seen. CheckField
 // checks a line of a request in the same way.
 //
 // Neither the reason phrase nor trailers are checked: the former is ignored (RFC 9112,
@@ -13,11 +13,9 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
-
-	"lagoonstile/rationer"
+	"strings"
 )
 
 // Errors of heads. They are wrapped.
@@ -45,7 +43,7 @@
 	textCopies = 2
 	// freeBytes is what a request takes for its own head in any case.
 	freeBytes = 8 << 10
-	// takeBytes is how much is taken from a share at a time.
+	// takeBytes is how much is taken at a time.
 	takeBytes = 16 << 10
 )
 
@@ -62,14 +60,13 @@
 )
 
 // Head checks the heads of the responses to one request: interim ones and the final one.
-// What follows the final head is not checked. The zero value has the default limits and no
-// share. It is not safe for concurrent use.
+// What follows the final head is not checked. The zero value has the default limits and
+// takes no memory. It is not safe for concurrent use.
 type Head struct {
 	Limits Limits
-	// Share is what the memory is taken from, and Context bounds how long that may take. A
-	// nil share has no limit.
-	Share   *rationer.Share
-	Context context.Context
+	// Take takes memory, in bytes, and reports whether it is granted. If it is nil, the
+	// memory is not limited.
+	Take func(bytes int64) bool
 
 	part part
 	// line holds the start of a status line or of a field's name. size is the length of
@@ -82,7 +79,8 @@
 	fields, bytes int
 	// old is set for HTTP/1.0, and interim if another head follows.
 	old, interim bool
-	taken        int64
+	// taken is how much memory was taken, in bytes.
+	taken int64
 }
 
 // Check checks the next bytes of a response and returns how many of them may be passed on.
@@ -104,17 +102,14 @@
 	return len(p), nil
 }
 
-// Release returns what was taken from the share.
-func (h *Head) Release() {
-	h.Share.Return(h.taken)
-	h.taken = 0
-}
+// TakenBytes returns how much memory was taken, for the caller to return.
+func (h *Head) TakenBytes() int64 { return h.taken }
 
-// take takes what the head becomes from the share.
+// take takes the memory that the head becomes.
 func (h *Head) take() error {
 	price := int64(textCopies*h.bytes + fieldBytes*h.fields)
-	for price > freeBytes+h.taken {
-		if !h.Share.Take(h.context(), takeBytes) {
+	for h.Take != nil && price > freeBytes+h.taken {
+		if !h.Take(takeBytes) {
 			return fmt.Errorf("%w: after %d bytes and %d fields", ErrNoMemory, h.bytes, h.fields)
 		}
 		h.taken += takeBytes
@@ -122,13 +117,6 @@
 	return nil
 }
 
-func (h *Head) context() context.Context {
-	if h.Context == nil {
-		return context.Background()
-	}
-	return h.Context
-}
-
 // next checks one byte of a head.
 func (h *Head) next(b byte) error {
 	h.bytes++
@@ -259,7 +247,7 @@
 
 // isTokenByte reports whether a byte may stand in a token (RFC 9110, section 5.6.2).
 func isTokenByte(b byte) bool {
-	return b > ' ' && b < 0x7f && bytes.IndexByte([]byte("\"(),/:;<=>?@[\\]{}"), b) < 0
+	return b > ' ' && b < 0x7f && strings.IndexByte("\"(),/:;<=>?@[\\]{}", b) < 0
 }
 
 // isValueByte reports whether a byte may stand in the value of a field (RFC 9110, section
--- a/inspector/transport.go
+++ b/inspector/transport.go
@@ -39,7 +39,10 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	ctx := req.Context()
-	head := Head{Limits: t.limits, Share: rationer.FromContext(ctx), Context: ctx}
+	head := Head{Limits: t.limits}
+	if share := rationer.FromContext(ctx); share != nil {
+		head.Take = func(bytes int64) bool { return share.Take(ctx, bytes) }
+	}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*conn); ok {
 			c.expect(head)
