Order the opening of a dialed connection before its reads

The race detector does not see that the kernel orders the two. Accepted connections have a counter for that. Change: the same counter for dialed ones.

--- a/linker/linker.go
+++ b/linker/linker.go
@@ -119,8 +119,8 @@
 	server      *nbhttp.Engine
 	client      *nbhttp.Engine
 
-	// opened counts accepted connections. As in package listener, it only orders the
-	// memory accesses of the accepting goroutine before those of the reading one.
+	// opened counts connections. It only orders the memory accesses of the goroutine that
+	// opens one before those of the reading one.
 	opened atomic.Uint64
 	// sentBytes counts the bytes of messages to peers.
 	sentBytes atomic.Int64
@@ -172,7 +172,9 @@
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
 	}
 	l.client = nbhttp.NewEngine(engineConfig(nil, nil))
+	l.client.Engine.OnOpen(func(*nbio.Conn) { l.opened.Add(1) })
 	l.client.Engine.OnData(func(conn *nbio.Conn, data []byte) {
+		l.opened.Load()
 		if !l.dials.receive(conn, len(data)) {
 			_ = conn.Close()
 			return
