--- a/review/rig3/crashing.go
+++ b/review/rig3/crashing.go
@@ -33,38 +33,53 @@
 	mostRetries = 3
 )
 
-// crashingRequest sends a request that crashes each server that runs it, again and
-// again, while the machines are restarted in turn (BUDGET).
-func crashingRequest(s *setting) (bool, error) {
+// startPlan starts a store, servers of one service and machines, and waits until the
+// machines are in touch. The caller must call the last result.
+func startPlan(s *setting, plan, service, crashPath string) (*world, *fleet, func(), error) {
 	st, err := startStore()
 	if err != nil {
-		return false, err
+		return nil, nil, func() {}, err
 	}
-	defer st.stop()
-	st.put("keyed.op", "config", []byte(planText))
+	st.put("keyed.op", "config", []byte(plan))
 	w := newWorld(st, s.rec, crashPath)
-	defer w.stop()
-	for range servers {
-		if err := w.startServer("orders"); err != nil {
-			return false, err
+	f, err := newFleet(s.program, s.dir, st, s.rec, machines)
+	stop := func() {
+		if f != nil {
+			f.stop()
 		}
+		w.stop()
+		st.stop()
 	}
-	f, err := newFleet(s.program, s.dir, st, s.rec, machines)
 	if err != nil {
-		return false, err
+		return w, f, stop, err
+	}
+	for range servers {
+		if err := w.startServer(service); err != nil {
+			return w, f, stop, err
+		}
 	}
-	defer f.stop()
 	for _, n := range f.nodes {
 		if err := n.start(true); err != nil {
-			return false, err
+			return w, f, stop, err
 		}
 	}
 	for _, n := range f.nodes {
 		if err := n.awaitReady(); err != nil {
-			return false, err
+			return w, f, stop, err
 		}
 	}
 	time.Sleep(stableWindow + time.Second)
+	return w, f, stop, nil
+}
+
+// crashingRequest sends a request that crashes each server that runs it, again and
+// again, while the machines are restarted in turn (BUDGET).
+func crashingRequest(s *setting) (bool, error) {
+	w, f, stop, err := startPlan(s, planText, "orders", crashPath)
+	defer stop()
+	if err != nil {
+		return false, err
+	}
 	others := startOthers(f, s.rec)
 	var sent []sending
 	try := func(n *node) {
@@ -181,3 +196,49 @@
 	fmt.Printf("%d servers crashed; %d retries reached servers, %d are allowed\n", len(crashes), reached, mostRetries)
 	return reached > mostRetries, nil
 }
+
+// Figures of the case repeatedRequest.
+const (
+	// bursts is how often the request comes, and burstInterval the time between two.
+	bursts        = 16
+	burstInterval = 5 * time.Second
+	// repeats is how many more times the client repeats it, at once after each failure.
+	repeats = 3
+	// clientRoundTrip is the time on the network from an answer to a client and from the
+	// client's next request to a machine.
+	clientRoundTrip = 6 * time.Millisecond
+)
+
+// repeatedRequest sends a request that crashes each server that runs it through a client
+// that repeats it at once (BUDGET).
+func repeatedRequest(s *setting) (bool, error) {
+	w, f, stop, err := startPlan(s, planText, "orders", crashPath)
+	defer stop()
+	if err != nil {
+		return false, err
+	}
+	others := startOthers(f, s.rec)
+	var sent []sending
+	tries := 1
+	if s.trouble {
+		tries += repeats
+	}
+	for burst := range bursts {
+		began := time.Now()
+		for try := range tries {
+			next := sendCrashing(f.nodes[(burst+try)%machines], s.rec)
+			sent = append(sent, next)
+			if next.answer.status == http.StatusOK {
+				break
+			}
+			time.Sleep(clientRoundTrip)
+		}
+		time.Sleep(time.Until(began.Add(burstInterval)))
+	}
+	lost := others()
+	for _, line := range f.logLines("request-quarantined", "server-crashed") {
+		s.rec.printf("log: %s", line)
+	}
+	s.rec.printf("other clients' orders that ended without a success: %d", lost)
+	return judgeCrashing(w, sent, s.rec)
+}
