--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -37,11 +37,13 @@
 	name, ip, zone   string
 	http, ready, dir string
 	peerPort         int
-	settingsPath     string
-	mu               sync.Mutex
-	process          *exec.Cmd
-	exited           chan struct{}
-	disturbedAt      time.Time
+	// relay is the way to the store, if it is not direct.
+	relay        *relay
+	settingsPath string
+	mu           sync.Mutex
+	process      *exec.Cmd
+	exited       chan struct{}
+	disturbedAt  time.Time
 }
 
 // newFleet prepares machines with addresses of their own on the loopback interface.
@@ -114,7 +116,7 @@
 			"retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 58, "recovery_s": 15, "ttl_max_s": 5, "probes_per_s": 3, "min_share": 0.7,
 		},
 		"platform": map[string]any{
-			"address": n.fleet.store.address(), "form": "log", "writes_per_s": 400, "reads_per_s": 2000, "parts": 12, "append_s": 0.002,
+			"address": n.storeAddress(), "form": "log", "writes_per_s": 400, "reads_per_s": 2000, "parts": 12, "append_s": 0.002,
 			"ingress_per_s": 20.0, "egress_per_s": 80.0, "record_bytes": 262144, "call_bytes": 2097152, "keep_s": 300, "part_mb": 200, "ttl_min_s": 1,
 		},
 	}, "", "  ")
@@ -124,6 +126,14 @@
 	return os.WriteFile(n.settingsPath, data, 0o600)
 }
 
+// storeAddress returns the address at which a machine reaches the store.
+func (n *node) storeAddress() string {
+	if n.relay != nil {
+		return n.relay.ln.Addr().String()
+	}
+	return n.fleet.store.address()
+}
+
 // start starts the process of a machine with the command of the deploy file.
 func (n *node) start(bootstrap bool) error {
 	if err := n.writeSettings(bootstrap); err != nil {
@@ -195,7 +205,7 @@
 	return errors.New(n.name + " is not ready")
 }
 
-// inTouchSince returns since when a machine has had no disruption.
+// undisturbedSince returns since when a machine has had no disruption.
 func (n *node) undisturbedSince() time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/review/rig3/main.go
+++ b/review/rig3/main.go
@@ -30,6 +30,7 @@
 // cases holds the cases by name. Each returns whether its rule was broken.
 var cases = map[string]func(*setting) (broken bool, err error){
 	"crashing-request": crashingRequest,
+	"readers-cut-off":  readersCutOff,
 	"repeated-request": repeatedRequest,
 }
 
--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -59,6 +60,35 @@
 	slots       chan struct{}
 	ended       chan struct{}
 	once        sync.Once
+	leaving     atomic.Bool
+	// reported receives a token when the server must write its entry at once.
+	reported chan struct{}
+	written  chan struct{}
+}
+
+// state returns the state that the server reports.
+func (s *server) state() string {
+	if s.leaving.Load() {
+		return "draining"
+	}
+	return "ready"
+}
+
+// drain makes the server report that it leaves, and returns when the store has that.
+func (s *server) drain() {
+	s.leaving.Store(true)
+	s.reported <- struct{}{}
+	<-s.written
+}
+
+// anyServer returns one of the servers.
+func (w *world) anyServer() *server {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for s := range w.servers {
+		return s
+	}
+	return nil
 }
 
 // startServer starts a server, which registers itself and sends heartbeats.
@@ -76,6 +106,7 @@
 	s := &server{
 		world: w, id: fmt.Sprintf("i-%04d", w.started), service: service, zone: fmt.Sprintf("zone-%d", w.started%serverZoneCount),
 		born: time.Now().UnixMilli(), ln: ln, slots: make(chan struct{}, serverSlots), ended: make(chan struct{}),
+		reported: make(chan struct{}), written: make(chan struct{}),
 	}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second}
 	w.servers[s] = true
@@ -87,13 +118,20 @@
 // beat writes the entry of a server until it has ended. Some beats later the store
 // removes the entry.
 func (s *server) beat() {
+	told := false
 	for seq := 1; ; seq++ {
 		entry, _ := json.Marshal(map[string]any{
 			"service": s.service, "address": s.ln.Addr().String(), "zone": s.zone, "version": "v1",
-			"capacity": serverSlots, "state": "ready", "warmup_left_s": 0, "seq": seq, "born": s.born,
+			"capacity": serverSlots, "state": s.state(), "warmup_left_s": 0, "seq": seq, "born": s.born,
 		})
 		s.world.store.put("keyed.servers", s.id, entry)
+		if told {
+			s.written <- struct{}{}
+		}
+		told = false
 		select {
+		case <-s.reported:
+			told = true
 		case <-s.ended:
 			time.Sleep(missedBeats * heartbeat)
 			s.world.store.put("keyed.servers", s.id, nil)
@@ -103,7 +141,8 @@
 	}
 }
 
-// crash ends a server at once. Another one takes its place after restartTime.
+// crash ends a server at once, as does the exit of one that leaves. Another one takes its
+// place after restartTime.
 func (s *server) crash() {
 	s.once.Do(func() {
 		w := s.world
@@ -111,7 +150,11 @@
 		w.crashes = append(w.crashes, time.Now())
 		delete(w.servers, s)
 		w.mu.Unlock()
-		w.rec.printf("server %s crashes", s.id)
+		what := "crashes"
+		if s.leaving.Load() {
+			what = "exits"
+		}
+		w.rec.printf("server %s %s", s.id, what)
 		close(s.ended)
 		_ = s.http.Close()
 		time.AfterFunc(restartTime, func() { _ = w.startServer(s.service) })
