--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -59,8 +59,8 @@
 	}
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(time.Now().Add(deadline))
-	head := method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nX-Request-Id: " + a.id +
-		"\r\nX-Deadline-Ms: " + strconv.FormatInt(deadline.Milliseconds(), 10) + "\r\n"
+	head := method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n" + wire.RequestID + ": " + a.id +
+		"\r\n" + wire.Deadline + ": " + strconv.FormatInt(deadline.Milliseconds(), 10) + "\r\n"
 	if method == http.MethodPost {
 		head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
 	}
@@ -79,7 +79,7 @@
 		return a
 	}
 	a.status, a.body = res.StatusCode, string(data)
-	a.signed = res.Header.Get("X-Server-Signature") != ""
+	a.signed = res.Header.Get(wire.Signature) != ""
 	a.retryAfter = res.Header.Get("Retry-After")
 	return a
 }
--- a/review/rig3/crashing.go
+++ b/review/rig3/crashing.go
@@ -10,13 +10,6 @@
 	"time"
 )
 
-// planText is the first configuration: one route of kind unsafe.
-const planText = `{"version":"00000001",
-"limits":{"max_header_bytes":16384,"max_body_bytes":1000000,"header_timeout_s":3,"idle_timeout_s":15},
-"listeners":[{"host":"shop.example","policies":[{"name":"order","kind":"unsafe","slo_s":4,"priority":0,
-"match":{"path_prefix":"/order/"},"action":{"service":"orders","timeout_s":6,"max_attempts":2}}]}],
-"upstreams":[{"name":"orders","health_path":"/healthz","max_conns":330}]}`
-
 // Figures of the case crashingRequest.
 const (
 	machines       = 3
@@ -40,7 +33,7 @@
 	if err != nil {
 		return nil, nil, func() {}, err
 	}
-	st.put("keyed.op", "config", []byte(plan))
+	st.put(wire.PlanTopic, wire.PlanKey, []byte(plan))
 	w := newWorld(st, s.rec, crashPath)
 	f, err := newFleet(s.program, s.dir, st, s.rec, machines)
 	stop := func() {
--- a/review/rig3/fleet.go
+++ b/review/rig3/fleet.go
@@ -145,7 +145,7 @@
 	}
 	defer func() { _ = log.Close() }()
 	cmd := exec.Command(n.fleet.program, "platform")
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LAGOONSTILE_CONFIG=" + n.settingsPath}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), wire.SettingsVariable + "=" + n.settingsPath}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -192,7 +192,7 @@
 func (n *node) awaitReady() error {
 	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
 		client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-		res, err := client.Get("http://" + n.ready + "/lagoonstile/readyz")
+		res, err := client.Get("http://" + n.ready + wire.ReadyPath)
 		if err != nil {
 			continue
 		}
--- a/review/rig3/readers.go
+++ b/review/rig3/readers.go
@@ -118,7 +118,7 @@
 
 // versionText returns a configuration. The route /old/ is there unless it was dropped.
 func versionText(version int, dropped bool) []byte {
-	old := `,{"name":"old","kind":"safe","slo_s":2,"priority":1,"match":{"path_prefix":"/old/"},"action":{"service":"orders","timeout_s":6,"max_attempts":2}}`
+	old := routeText
 	if dropped {
 		old = ""
 	}
@@ -135,7 +135,7 @@
 	}
 	defer st.stop()
 	version := 1
-	st.put("keyed.op", "config", versionText(version, false))
+	st.put(wire.PlanTopic, wire.PlanKey, versionText(version, false))
 	w := newWorld(st, s.rec, "")
 	defer w.stop()
 	for range manyServers {
@@ -166,7 +166,7 @@
 	for range episodes {
 		time.Sleep(stableWindow + 2*time.Second)
 		version++
-		st.put("keyed.op", "config", versionText(version, false))
+		st.put(wire.PlanTopic, wire.PlanKey, versionText(version, false))
 		time.Sleep(stableWindow)
 		version++
 		if err := late.episode(f, st, version, s.trouble); err != nil {
@@ -204,7 +204,7 @@
 	leaving.drain()
 	drainedAt := time.Now()
 	l.rec.printf("server %s says that it leaves", leaving.id)
-	st.put("keyed.op", "config", versionText(version, true))
+	st.put(wire.PlanTopic, wire.PlanKey, versionText(version, true))
 	changedAt := time.Now()
 	l.rec.printf("version %d, without the route /old/, is acknowledged", version)
 	time.AfterFunc(time.Until(drainedAt.Add(exitAfter)), leaving.crash)
--- a/review/rig3/server.go
+++ b/review/rig3/server.go
@@ -124,7 +124,7 @@
 			"service": s.service, "address": s.ln.Addr().String(), "zone": s.zone, "version": "v1",
 			"capacity": serverSlots, "state": s.state(), "warmup_left_s": 0, "seq": seq, "born": s.born,
 		})
-		s.world.store.put("keyed.servers", s.id, entry)
+		s.world.store.put(wire.ServerTopic, s.id, entry)
 		if told {
 			s.written <- struct{}{}
 		}
@@ -134,7 +134,7 @@
 			told = true
 		case <-s.ended:
 			time.Sleep(missedBeats * heartbeat)
-			s.world.store.put("keyed.servers", s.id, nil)
+			s.world.store.put(wire.ServerTopic, s.id, nil)
 			return
 		case <-time.After(heartbeat):
 		}
@@ -194,13 +194,13 @@
 
 // ServeHTTP handles a request as PROTOCOL.md tells.
 func (s *server) ServeHTTP(w http.ResponseWriter, req *http.Request) {
-	id := req.Header.Get("X-Request-Id")
+	id := req.Header.Get(wire.RequestID)
 	if req.URL.Path == "/healthz" {
-		w.Header().Set("X-Instance-Id", s.id)
+		w.Header().Set(wire.ServerID, s.id)
 		return
 	}
-	w.Header().Set("X-Request-Id", id)
-	if target := req.Header.Get("X-Target-Instance"); target != "" && target != s.id {
+	w.Header().Set(wire.RequestID, id)
+	if target := req.Header.Get(wire.Target); target != "" && target != s.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -208,9 +208,9 @@
 	if err != nil {
 		return
 	}
-	deadlineMs, err := strconv.Atoi(req.Header.Get("X-Deadline-Ms"))
+	deadlineMs, err := strconv.Atoi(req.Header.Get(wire.Deadline))
 	if id == "" || err != nil {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(wire.NotRun, "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -219,7 +219,7 @@
 	case s.slots <- struct{}{}:
 		defer func() { <-s.slots }()
 	case <-expired:
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(wire.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case <-req.Context().Done():
@@ -237,7 +237,7 @@
 		return
 	}
 	answer := fmt.Sprintf("answer to %s with %d bytes", id, len(body))
-	w.Header().Set("X-Server-Signature", "sig-"+s.id)
+	w.Header().Set(wire.Signature, "sig-"+s.id)
 	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	_, _ = io.WriteString(w, answer)
 }
--- a/review/rig3/store.go
+++ b/review/rig3/store.go
@@ -40,9 +40,9 @@
 	}
 	s := &store{topics: make(map[string]*topic), ln: ln}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /lagoonstile/log-newest", s.serveNewest)
-	mux.HandleFunc("GET /lagoonstile/log-read", s.serveRead)
-	mux.HandleFunc("POST /lagoonstile/log-append", s.serveAppend)
+	mux.HandleFunc("GET "+wire.NewestPath, s.serveNewest)
+	mux.HandleFunc("GET "+wire.ReadPath, s.serveRead)
+	mux.HandleFunc("POST "+wire.AppendPath, s.serveAppend)
 	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = s.server.Serve(ln) }()
 	return s, nil
@@ -155,7 +155,7 @@
 
 func (s *store) serveAppend(w http.ResponseWriter, req *http.Request) {
 	name := req.URL.Query().Get("topic")
-	if name == "keyed.op" || name == "keyed.servers" {
+	if name == wire.PlanTopic || name == wire.ServerTopic {
 		w.WriteHeader(http.StatusForbidden)
 		return
 	}
