Guard the paths that refuse broken answers already

Change: package faker, a server that sends given bytes and ends its connections in a given way, with tables of the heads and statuses of a server in trouble. TestResetDuringUploadBreaksTheAnswer uses it too.

--- /dev/null
+++ b/connector/faulty_test.go
@@ -0,0 +1,71 @@
+package connector_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"lagoonstile"
+	"lagoonstile/connector"
+	"lagoonstile/internal/faker"
+)
+
+// clients are the clients that a service may be given.
+var clients = map[string]*http.Client{"default client": nil}
+
+// TestResetResponsesOfReadsAreErrors guards against a part of a response without a length that
+// ends with a reset, and passes for a complete one.
+func TestResetResponsesOfReadsAreErrors(t *testing.T) {
+	t.Parallel()
+	for body, call := range calls() {
+		server := faker.Server{Response: "HTTP/1.1 200 OK\r\n\r\n" + body + "   ", Pause: 2 * time.Millisecond, End: faker.Reset}
+		base := "http://" + server.Start(t)
+		for name, client := range clients {
+			if err := call(base, client); err == nil {
+				t.Errorf("%s, %s: a part passes for a complete response", body, name)
+			}
+		}
+	}
+}
+
+// calls returns the calls to services, by the body of a response that each accepts.
+func calls() map[string]func(base string, client *http.Client) error {
+	ctx := context.Background()
+	return map[string]func(string, *http.Client) error{
+		`{"offset":7}`: func(base string, client *http.Client) error {
+			_, err := (&connector.Log{Base: base, Client: client}).Append(ctx, lagoonstile.StreamConfiguration, []byte("x"))
+			return err
+		},
+		`{"next":7}`: func(base string, client *http.Client) error {
+			_, err := (&connector.Log{Base: base, Client: client}).Read(ctx, lagoonstile.StreamConfiguration, 0, 0)
+			return err
+		},
+		`[]`: func(base string, client *http.Client) error {
+			_, err := (&connector.InstanceList{Base: base, Client: client}).Instances(ctx)
+			return err
+		},
+	}
+}
+
+// TestMalformedResponsesAreErrors guards against responses that pass although a line of
+// their head is no field, or their status is none.
+func TestMalformedResponsesAreErrors(t *testing.T) {
+	t.Parallel()
+	for body, call := range calls() {
+		for _, response := range append(faker.MalformedHeads("", body), faker.InvalidStatuses("", body)...) {
+			base := "http://" + faker.Server{Response: response.Text, ReadsBody: true, End: faker.Close}.Start(t)
+			for name, client := range clients {
+				if err := call(base, client); err == nil {
+					t.Errorf("%s, %s, %s: passes", body, response.Name, name)
+				}
+			}
+		}
+		base := "http://" + faker.Server{Response: faker.Sound("", body), ReadsBody: true, End: faker.Close}.Start(t)
+		for name, client := range clients {
+			if err := call(base, client); err != nil {
+				t.Errorf("%s, sound response, %s: %v", body, name, err)
+			}
+		}
+	}
+}
--- a/exchanger/early_test.go
+++ b/exchanger/early_test.go
@@ -1,7 +1,6 @@
 package exchanger_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -13,58 +12,9 @@
 	"time"
 
 	"lagoonstile/exchanger"
+	"lagoonstile/internal/faker"
 )
 
-// earlyServer answers each connection after the head of a request, and then ends it or
-// holds it without a read.
-type earlyServer struct {
-	answer string
-	// after is the time from the answer to the end.
-	after time.Duration
-	// end ends the connection. If it is nil, the connection stays open.
-	end func(conn *net.TCPConn)
-}
-
-// start starts the server and returns its address.
-func (s earlyServer) start(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go s.serve(conn.(*net.TCPConn))
-		}
-	}()
-	return ln.Addr().String()
-}
-
-func (s earlyServer) serve(conn *net.TCPConn) {
-	_, _ = http.ReadRequest(bufio.NewReaderSize(conn, 1<<10))
-	_, _ = io.WriteString(conn, s.answer)
-	time.Sleep(s.after)
-	if s.end != nil {
-		s.end(conn)
-		return
-	}
-	time.Sleep(time.Minute)
-}
-
-// reset ends a connection with a reset.
-func reset(conn *net.TCPConn) {
-	_ = conn.SetLinger(0)
-	_ = conn.Close()
-}
-
-// closeOrderly ends a connection without a reset from the side of the program.
-func closeOrderly(conn *net.TCPConn) { _ = conn.Close() }
-
 // upload returns a request with a body.
 func upload(address string, size int) *exchanger.Request {
 	req := request(address)
@@ -89,7 +39,7 @@
 	for _, test := range tests {
 		t.Run(fmt.Sprintf("part of %d, upload of %d, reset after %v", test.part, test.upload, test.after), func(t *testing.T) {
 			t.Parallel()
-			address := earlyServer{answer: head + strings.Repeat("x", test.part), after: test.after, end: reset}.start(t)
+			address := faker.Server{Response: head + strings.Repeat("x", test.part), Pause: test.after, End: faker.Reset}.Start(t)
 			complete := 0
 			for range tries {
 				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -119,19 +69,15 @@
 	}{
 		{"413, held open", fmt.Sprintf(head, "413 Too Large") + body, nil, time.Second},
 		{"413 in chunks, held open", fmt.Sprintf(head, "413 Too Large") + chunks, nil, time.Second},
-		{"413, closed", fmt.Sprintf(head, "413 Too Large") + body, closeOrderly, time.Second},
-		{"413, reset", fmt.Sprintf(head, "413 Too Large") + body, reset, time.Second},
+		{"413, closed", fmt.Sprintf(head, "413 Too Large") + body, faker.Close, time.Second},
+		{"413, reset", fmt.Sprintf(head, "413 Too Large") + body, faker.Reset, time.Second},
 		{"200, held open", fmt.Sprintf(head, "200 OK") + body, nil, 3 * time.Second},
-		{"200, closed", fmt.Sprintf(head, "200 OK") + body, closeOrderly, 3 * time.Second},
+		{"200, closed", fmt.Sprintf(head, "200 OK") + body, faker.Close, 3 * time.Second},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			server := earlyServer{answer: test.answer, end: test.end}
-			if test.end != nil {
-				server.after = 50 * time.Millisecond
-			}
-			address := server.start(t)
+			address := faker.Server{Response: test.answer, Pause: 50 * time.Millisecond, End: test.end}.Start(t)
 			for _, size := range []int{10, 200 << 10, 16 << 20} {
 				ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 				began := time.Now()
@@ -154,12 +100,12 @@
 	t.Parallel()
 	const size, pieces = 16 << 20, 32
 	var received atomic.Int64
-	address := earlyServer{answer: "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 4\r\n\r\nbody", end: func(conn *net.TCPConn) {
+	address := faker.Server{Response: faker.Sound("X-Id: 7\r\n", "body"), End: func(conn *net.TCPConn) {
 		for n, err := int64(0), error(nil); err == nil; received.Add(n) {
 			n, err = io.CopyN(io.Discard, conn, size/pieces)
 			time.Sleep(2 * time.Second / pieces)
 		}
-	}}.start(t)
+	}}.Start(t)
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	if got, err := readAll(ctx, upload(address, size)); got != "body" || err != nil {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -73,11 +73,12 @@
 // whose address refuses connections.
 func newFixture(t *testing.T, idempotent bool, handlers ...http.HandlerFunc) *fixture {
 	t.Helper()
-	fix := &fixture{idempotent: idempotent}
-	for i, handler := range handlers {
-		received := &atomic.Int64{}
+	var addresses []string
+	var received []*atomic.Int64
+	for _, handler := range handlers {
+		count := &atomic.Int64{}
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-			received.Add(1)
+			count.Add(1)
 			handler(w, req)
 		}))
 		if handler == nil {
@@ -85,9 +86,21 @@
 		} else {
 			t.Cleanup(server.Close)
 		}
-		fix.received = append(fix.received, received)
+		received = append(received, count)
+		addresses = append(addresses, server.Listener.Addr().String())
+	}
+	fix := newFixtureTo(t, idempotent, addresses...)
+	fix.received = received
+	return fix
+}
+
+// newFixtureTo forwards to the servers at the given addresses.
+func newFixtureTo(t *testing.T, idempotent bool, addresses ...string) *fixture {
+	t.Helper()
+	fix := &fixture{idempotent: idempotent}
+	for i, address := range addresses {
 		fix.targets = append(fix.targets, &picker.Target{
-			Server: lagoonstile.Server{ID: lagoonstile.ServerID(fmt.Sprint("server-", i)), Address: server.Listener.Addr().String(), Slots: 6},
+			Server: lagoonstile.Server{ID: lagoonstile.ServerID(fmt.Sprint("server-", i)), Address: address, Slots: 6},
 			Live:   &counter.Server{}, Weight: 1, Limit: 6,
 		})
 	}
--- a/relayer/relayer_test.go
+++ b/relayer/relayer_test.go
@@ -27,6 +27,22 @@
 
 // newRelayer returns a relayer in front of one test server for each handler.
 func newRelayer(t *testing.T, route lagoonstile.PlannedRoute, handlers ...http.HandlerFunc) *relayer.Relayer {
+	t.Helper()
+	var addresses []string
+	for _, handler := range handlers {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			w.Header().Set("X-Id", req.Header.Get("X-Id"))
+			w.Header().Set("X-Signed", "yes")
+			handler(w, req)
+		}))
+		t.Cleanup(server.Close)
+		addresses = append(addresses, strings.TrimPrefix(server.URL, "http://"))
+	}
+	return newRelayerTo(t, route, addresses...)
+}
+
+// newRelayerTo returns a relayer in front of the servers at the given addresses.
+func newRelayerTo(t *testing.T, route lagoonstile.PlannedRoute, addresses ...string) *relayer.Relayer {
 	t.Helper()
 	route.Name, route.Host, route.PathPrefix = "lookup", "shop.example", "/"
 	route.Targets = []lagoonstile.WeightedService{{Service: service, Weight: 1}}
@@ -40,16 +56,9 @@
 	table := router.NewPlanTable(plan)
 	servers := allocator.New(steerer.DefaultFaultModel, "here", func(lagoonstile.ServiceID, steerer.Report) {})
 	var backends []lagoonstile.Backend
-	for n, handler := range handlers {
-		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-			w.Header().Set("X-Id", req.Header.Get("X-Id"))
-			w.Header().Set("X-Signed", "yes")
-			handler(w, req)
-		}))
-		t.Cleanup(server.Close)
+	for n, address := range addresses {
 		backends = append(backends, lagoonstile.Backend{
-			ID: lagoonstile.ServerID(strconv.Itoa(n)), Service: service, FailureDomain: "here", Slots: 6,
-			Address: strings.TrimPrefix(server.URL, "http://"),
+			ID: lagoonstile.ServerID(strconv.Itoa(n)), Service: service, FailureDomain: "here", Slots: 6, Address: address,
 		})
 	}
 	servers.SetBackends(backends)
