Check the heads of answers in clients that are not ours

What callers saw: package caller and package operator returned answers whose head had a line that is no field (`Odd Name: v`, `Content-Length : 9`), with that line or with a body that was not the server's. So did the clients of the log and the instance list if they were given a plain client of net/http. Cause: only the transports that packages make themselves check heads. http.DefaultClient and clients of users don't, and net/http lets blanks stand in names. Change: inspector.Client sends a request by any client of net/http on a checked transport with the same settings. The four clients use it. Control bytes and statuses such as 000 were refused before. Why it works: the bytes are judged as they are received, before the parser sees them, by the same code as on the platform's path.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -35,6 +35,7 @@
 	"lagoonstile"
 	"lagoonstile/answerer"
 	"lagoonstile/exchanger"
+	"lagoonstile/inspector"
 	"lagoonstile/locator"
 )
 
@@ -85,9 +86,12 @@
 	Account string
 	// Key is the key of the client account, for fleets whose rules have accounts.
 	Key string
-	// Client sends the HTTP requests; nil means http.DefaultClient.
+	// Client sends the HTTP requests; nil means http.DefaultClient. It must not be changed
+	// after the first request. Answers are checked as package inspector says, so malformed
+	// ones are errors, if its transport is nil or a *http.Transport.
 	Client *http.Client
 
+	checked inspector.Client
 	mu      sync.Mutex
 	entries map[lagoonstile.ServiceID]*cachedEntry
 }
@@ -279,7 +283,7 @@
 	httpReq = httpReq.WithContext(httptrace.WithClientTrace(httpReq.Context(), &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
 	}))
-	res, err := c.client().Do(httpReq)
+	res, err := c.checked.Do(c.Client, httpReq)
 	if err != nil && !connected {
 		return nil, fmt.Errorf("%w: %w", errNotSent, err)
 	}
@@ -349,7 +353,7 @@
 	if err != nil {
 		return nil, err
 	}
-	res, err := c.client().Do(httpReq)
+	res, err := c.checked.Do(c.Client, httpReq)
 	if err != nil {
 		return nil, err
 	}
@@ -383,13 +387,6 @@
 	}
 }
 
-func (c *Caller) client() *http.Client {
-	if c.Client == nil {
-		return http.DefaultClient
-	}
-	return c.Client
-}
-
 // withDeadline returns a copy of ctx that can be canceled. If ctx has no deadline,
 // the copy ends after defaultTimeout.
 func withDeadline(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -72,10 +72,14 @@
 type Log struct {
 	// Base is the service's URL without a trailing slash.
 	Base string
-	// Client sends the requests; nil means one of NewClient.
+	// Client sends the requests; nil means one of NewClient. It must not be changed after
+	// the first request. Responses are checked as package inspector says, if its transport
+	// is nil or a *http.Transport.
 	Client *http.Client
 	// MaxResponseBytes is the size of the largest response; 0 means 64 MB.
 	MaxResponseBytes int64
+
+	checked inspector.Client
 }
 
 var _ lagoonstile.Log = (*Log)(nil)
@@ -117,10 +121,14 @@
 type InstanceList struct {
 	// Base is the service's URL without a trailing slash.
 	Base string
-	// Client sends the requests; nil means one of NewClient.
+	// Client sends the requests; nil means one of NewClient. It must not be changed after
+	// the first request. Responses are checked as package inspector says, if its transport
+	// is nil or a *http.Transport.
 	Client *http.Client
 	// MaxResponseBytes is the size of the largest response; 0 means 64 MB.
 	MaxResponseBytes int64
+
+	checked inspector.Client
 }
 
 var _ lagoonstile.InstanceList = (*InstanceList)(nil)
@@ -132,13 +140,14 @@
 	return instances, err
 }
 
-func (l *Log) caller() caller { return caller{l.Client, l.MaxResponseBytes} }
+func (l *Log) caller() caller { return caller{l.Client, &l.checked, l.MaxResponseBytes} }
 
-func (l *InstanceList) caller() caller { return caller{l.Client, l.MaxResponseBytes} }
+func (l *InstanceList) caller() caller { return caller{l.Client, &l.checked, l.MaxResponseBytes} }
 
 // caller makes requests to a service.
 type caller struct {
 	client           *http.Client
+	checked          *inspector.Client
 	maxResponseBytes int64
 }
 
@@ -158,7 +167,7 @@
 	if err != nil {
 		return fmt.Errorf("%s %s: %w", method, target, err)
 	}
-	res, err := c.client.Do(req)
+	res, err := c.checked.Do(c.client, req)
 	if err != nil {
 		return fmt.Errorf("%w: %w", lagoonstile.ErrUnavailable, receiver.Cause(ctx, err))
 	}
--- a/connector/faulty_test.go
+++ b/connector/faulty_test.go
@@ -11,8 +11,8 @@
 	"lagoonstile/internal/faker"
 )
 
-// clients are the clients that a service may be given.
-var clients = map[string]*http.Client{"default client": nil}
+// clients are no client and a plain one.
+var clients = map[string]*http.Client{"default client": nil, "plain client": {Transport: &http.Transport{}}}
 
 // TestResetResponsesOfReadsAreErrors guards against a part of a response without a length that
 // ends with a reset, and passes for a complete one.
--- a/operator/command.go
+++ b/operator/command.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -146,9 +145,8 @@
 		return nil, fmt.Errorf("%w: --instances is missing; expected the instance list's URL", errUsage)
 	}
 	return &Client{
-		Log:        &connector.Log{Base: c.logURL},
-		Instances:  &connector.InstanceList{Base: c.instancesURL},
-		HTTPClient: &http.Client{},
+		Log:       &connector.Log{Base: c.logURL},
+		Instances: &connector.InstanceList{Base: c.instancesURL},
 	}, nil
 }
 
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -26,6 +26,7 @@
 	"lagoonstile/configurer"
 	"lagoonstile/encoder"
 	"lagoonstile/exchanger"
+	"lagoonstile/inspector"
 )
 
 // Errors of a publication. They determine the exit code of a command.
@@ -57,8 +58,12 @@
 	Log lagoonstile.Log
 	// Instances is needed only by Wait.
 	Instances lagoonstile.InstanceList
-	// HTTPClient sends the requests to instances; nil means http.DefaultClient.
+	// HTTPClient sends the requests to instances; nil means http.DefaultClient. It must not
+	// be changed after the first request. Answers are checked as package inspector says, so
+	// malformed ones are errors, if its transport is nil or a *http.Transport.
 	HTTPClient *http.Client
+
+	checked inspector.Client
 }
 
 // Current reads the whole configuration stream and returns a replica, which holds
@@ -293,7 +298,7 @@
 	if err != nil {
 		return fmt.Errorf("instance at %s: %w", address, err)
 	}
-	res, err := client.httpClient().Do(req)
+	res, err := client.checked.Do(client.HTTPClient, req)
 	if err != nil {
 		return fmt.Errorf("%w: instance at %s: %w", lagoonstile.ErrUnavailable, address, err)
 	}
@@ -314,13 +319,6 @@
 	return nil
 }
 
-func (client *Client) httpClient() *http.Client {
-	if client.HTTPClient == nil {
-		return http.DefaultClient
-	}
-	return client.HTTPClient
-}
-
 // author returns the author to record in a change: the value of
 // LAGOONSTILE_AUTHOR, or else the login name on the operator's machine.
 func author() string {
