Refuse answers to a link's handshake whose head is malformed

What was seen: an instance took a link to a peer whose answer to the handshake had a line that is no field (`Odd Name: v`, `Odd-Name : v`). Cause: nbhttp lets blanks stand in names, as net/http does, and nothing else looked. Change: the bytes of a dialed connection go through inspector.Head until the upgrade, like all other answers. TestHandshakesAreBounded passes bytes in place of their number, since receive looks at them.

--- a/linker/handshakes.go
+++ b/linker/handshakes.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"lagoonstile/inspector"
 )
 
 // Limits of connections that have not become a peer's yet. Anybody who reaches the
@@ -35,6 +37,8 @@
 	// opened.
 	number   uint64
 	received int
+	// answer checks the answer if the connection is dialed. Otherwise it is nil.
+	answer *inspector.Head
 }
 
 // open adds a connection. It returns the one that must be closed in its place, or nil.
@@ -77,7 +81,7 @@
 	if h.conns == nil {
 		h.conns = make(map[string]*handshake)
 	}
-	h.conns[address] = &handshake{}
+	h.conns[address] = &handshake{answer: &inspector.Head{}}
 	return func() {
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -85,9 +89,9 @@
 	}
 }
 
-// receive counts bytes of a connection. It returns false if it has sent too many before
-// its upgrade.
-func (h *handshakes) receive(conn net.Conn, bytes int) bool {
+// receive checks bytes of a connection. It returns false if it has sent too many before
+// its upgrade, or an answer whose head is malformed.
+func (h *handshakes) receive(conn net.Conn, data []byte) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.conns) == 0 {
@@ -97,7 +101,12 @@
 	if state == nil {
 		return true
 	}
-	state.received += bytes
+	state.received += len(data)
+	if state.answer != nil {
+		if _, err := state.answer.Check(data); err != nil {
+			return false
+		}
+	}
 	return state.received <= maxHandshakeBytes
 }
 
--- a/linker/handshakes_test.go
+++ b/linker/handshakes_test.go
@@ -42,12 +42,12 @@
 		{conns[0], maxHandshakeBytes + 1, true}, // Closed already.
 	}
 	for n, step := range steps {
-		if got := h.receive(step.conn, step.bytes); got != step.want {
+		if got := h.receive(step.conn, make([]byte, step.bytes)); got != step.want {
 			t.Errorf("step %d: %t, want %t", n, got, step.want)
 		}
 	}
 	h.finish(conns[3])
-	if !h.receive(conns[3], maxHandshakeBytes+1) {
+	if !h.receive(conns[3], make([]byte, maxHandshakeBytes+1)) {
 		t.Error("the bytes of an upgraded connection were counted")
 	}
 	if h.open(conns[0]) != nil {
--- a/linker/linker.go
+++ b/linker/linker.go
@@ -162,7 +162,7 @@
 	l.server.OnClose(func(conn net.Conn, _ error) { l.handshakes.finish(conn) })
 	l.server.Engine.OnData(func(conn *nbio.Conn, data []byte) {
 		l.opened.Load()
-		if !l.handshakes.receive(conn, len(data)) {
+		if !l.handshakes.receive(conn, data) {
 			_ = conn.Close()
 			return
 		}
@@ -175,7 +175,7 @@
 	l.client.Engine.OnOpen(func(*nbio.Conn) { l.opened.Add(1) })
 	l.client.Engine.OnData(func(conn *nbio.Conn, data []byte) {
 		l.opened.Load()
-		if !l.dials.receive(conn, len(data)) {
+		if !l.dials.receive(conn, data) {
 			_ = conn.Close()
 			return
 		}
