Await the rest of a request behind a body without a length

What callers saw: a server answers a long upload with a 200 that has no length, sends a part, closes its sending side and resets the connection some milliseconds later, with the upload unread. The client got the part as a complete answer, in HTTP/1.0 and 1.1. Cause: at the end of such a body untilClose stopped the write and judged by what it had met until then. The reset came later and nobody looked; it is also lost on a request that is in the socket's buffer already, whose write has long succeeded. Change: inspector.AwaitEnd decides at the end of the body. It waits until the request is written and acknowledged, or makes no progress for a second, and asks by an empty write whether the connection has failed. Behind a status other than success the write goes on for a second at most; before, it ended at once, and a write cut early has nothing left that a reset could show. Ends that are in order stay whole: all of the request read before, or after the end; or never read, after a second. Why it works: RFC 9112, section 8, calls such a body complete unless the connection indicates an error. As long as a part of the request is on its way, a reset is one and shows. Not told apart: a server that has received the whole request, ends its answer in order and resets afterwards. Its answer stays whole, as before (a case of the test).

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -189,9 +189,9 @@
 	sent := startWrite(conn, req.encode(), req.bodyBytes())
 	resp, err := newReading(ctx, conn, req, sent).response()
 	if err != nil {
-		return nil, errors.Join(sent.failure(), err)
+		return nil, errors.Join(sent.upload().Err, err)
 	}
-	if resp.Rest == nil && resp.Status < http.StatusMultipleChoices {
+	if resp.Rest == nil && isSuccess(resp.Status) {
 		sent.await()
 	}
 	return resp, nil
--- a/exchanger/reading.go
+++ b/exchanger/reading.go
@@ -122,7 +122,7 @@
 	case resp.Length >= 0:
 		return resp, r.readLength(resp, head.Body)
 	case len(head.TransferEncoding) == 0:
-		return resp, r.readUnknownLength(resp, untilClose{head.Body, r.sent})
+		return resp, r.readUnknownLength(resp, untilClose{head.Body, r.sent, !isSuccess(resp.Status)})
 	}
 	return resp, r.readUnknownLength(resp, head.Body)
 }
--- a/exchanger/status.go
+++ b/exchanger/status.go
@@ -25,5 +25,9 @@
 	return nil
 }
 
+// isSuccess reports whether a final response with the status says that its request has
+// succeeded.
+func isSuccess(status int) bool { return status < http.StatusMultipleChoices }
+
 // isInterim reports whether a response with the status comes before the final one.
 func isInterim(status int) bool { return status < http.StatusOK }
--- a/exchanger/write.go
+++ b/exchanger/write.go
@@ -2,26 +2,22 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"os"
 	"slices"
 	"sync/atomic"
 	"time"
+
+	"lagoonstile/inspector"
 )
 
 // How a request is written while its response is read. A server may respond before it has
 // read a long body, and may then never read the rest.
 
-const (
-	// maxWriteStall is how long a request that has succeeded by its response may make no
-	// progress before the rest of it is given up.
-	maxWriteStall = time.Second
-	// maxWriteBytes is the size of the largest single write, so that the progress of a
-	// long request shows.
-	maxWriteBytes = 256 << 10
-)
+// maxWriteBytes is the size of the largest single write, so that the progress of a long
+// request shows.
+const maxWriteBytes = 256 << 10
 
 // write is the write of a request that goes on while its response is read.
 type write struct {
@@ -63,19 +59,9 @@
 	return nil
 }
 
-// failure returns the error of the write, or nil if it goes on or has succeeded.
-func (w *write) failure() error {
-	select {
-	case <-w.done:
-		return w.err
-	default:
-		return nil
-	}
-}
-
 // await waits until the write has ended, as long as it makes progress.
 func (w *write) await() {
-	ticker := time.NewTicker(maxWriteStall)
+	ticker := time.NewTicker(inspector.MaxUploadStall)
 	defer ticker.Stop()
 	for written := int64(-1); w.written.Load() > written; {
 		written = w.written.Load()
@@ -87,31 +73,44 @@
 	}
 }
 
-// stop stops the write. The error is that of the connection, if there was one.
-func (w *write) stop() error {
-	_ = w.conn.SetWriteDeadline(time.Unix(1, 0))
-	<-w.done
-	if errors.Is(w.err, os.ErrDeadlineExceeded) {
-		return nil
+// giveUpAfter gives up the write, which has then not failed, unless it ends in time.
+func (w *write) giveUpAfter(d time.Duration) { _ = w.conn.SetWriteDeadline(time.Now().Add(d)) }
+
+// upload returns how far the write has got.
+func (w *write) upload() inspector.Upload {
+	up := inspector.Upload{Written: w.written.Load()}
+	select {
+	case <-w.done:
+		up.Ended = true
+		if !errors.Is(w.err, os.ErrDeadlineExceeded) {
+			up.Err = w.err
+		}
+	default:
 	}
-	return w.err
+	return up
 }
 
-// untilClose reads a body that ends with its connection. A write that fails takes the
-// reset of a connection, after which reads end as if the server had closed it. Such a body
-// is therefore complete only if the write did not fail.
+// untilClose reads a body that ends with its connection.
 type untilClose struct {
 	io.Reader
 	write *write
+	// failed is set if the response says that the request has not succeeded. The server
+	// then does not need the rest of the request, so that it is written only for as long as
+	// one that makes no progress.
+	failed bool
 }
 
 // Read implements io.Reader.
 func (b untilClose) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
-	if errors.Is(err, io.EOF) {
-		if writeErr := b.write.stop(); writeErr != nil {
-			return n, fmt.Errorf("%w: the connection failed while the request was written: %w", io.ErrUnexpectedEOF, writeErr)
-		}
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	if b.failed {
+		b.write.giveUpAfter(inspector.MaxUploadStall)
+	}
+	if endErr := inspector.AwaitEnd(b.write.conn, b.write.upload); endErr != nil {
+		return n, endErr
 	}
 	return n, err
 }
--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -166,5 +166,7 @@
 		{Name: "reset at once", End: Reset},
 		{Name: "reset after 2ms", End: Reset, Pause: 2 * time.Millisecond},
 		{Name: "reset after 30ms", End: Reset, Pause: 30 * time.Millisecond},
+		{Name: "end, reset after 5ms", End: CloseWriteAndReset(5 * time.Millisecond)},
+		{Name: "end, reset after 20ms", End: CloseWriteAndReset(20 * time.Millisecond)},
 	}
 }
