Check the ends of answers that clients of net/http read

What callers saw: package caller returned a part of an answer without a length as a whole answer when the connection was reset while a long request was written. So did operator, the client of the store and of peers, and those of the log and the instance list, each with a request that is long enough. Cause: a connection reports a reset once. The transport of net/http writes beside the read; the write takes the error, and the read ends as at an orderly close. The fault was mended in exchanger only. Besides, nobody looked for a reset behind the end. Change: connections of inspector.Transport note what becomes of the request, and AwaitEnd decides at the end of a body that ends with its connection, as in exchanger. The daemon's transport is the same; it refuses such bodies as before. Ends in order stay whole: TestAnswersWithoutLength in caller. Why it works: the error that the write met, or that an empty write meets, is that of the connection, whoever received it.

--- a/caller/faulty_test.go
+++ b/caller/faulty_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,13 +28,38 @@
 	}
 }
 
+// TestBrokenOffAnswersAreErrors guards against a part of an answer without a length that
+// ends with a reset, and passes for a complete answer.
+func TestBrokenOffAnswersAreErrors(t *testing.T) {
+	t.Parallel()
+	const tries = 5
+	for _, server := range faker.ResetEnds() {
+		for _, size := range []int{200 << 10, 8 << 20} {
+			server.Response = "HTTP/1.1 200 OK\r\n\r\n" + strings.Repeat("x", 4000)
+			for name, c := range callers(t, server.Start(t)) {
+				t.Run(fmt.Sprintf("%s, upload of %d, %s", server.Name, size, name), func(t *testing.T) {
+					t.Parallel()
+					for range tries {
+						ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+						answer, err := c.Order(ctx, caller.Request{Service: "orders", Method: http.MethodPost, Path: "/order", Body: make([]byte, size)})
+						cancel()
+						if err == nil {
+							t.Errorf("a part of %d bytes passes for a complete answer", len(answer.Body))
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 // TestMalformedAnswersAreErrors guards against answers that pass although a line of their
 // head is no field, or their status is none.
 func TestMalformedAnswersAreErrors(t *testing.T) {
 	t.Parallel()
 	responses := append(faker.MalformedHeads("", "good"), faker.InvalidStatuses("", "good")...)
 	for _, response := range responses {
-		instance := faker.Server{Response: response.Text, ReadsBody: true, End: faker.Close}.Start(t)
+		instance := faker.Server{Response: response.Text, Reads: faker.ReadsAll, End: faker.Close}.Start(t)
 		for name, c := range callers(t, instance) {
 			t.Run(response.Name+", "+name, func(t *testing.T) {
 				t.Parallel()
@@ -75,7 +101,7 @@
 func TestAnswersWithoutLength(t *testing.T) {
 	t.Parallel()
 	tests := []faker.Server{
-		{Name: "closed after the request", ReadsBody: true, End: faker.Close},
+		{Name: "closed after the request", Reads: faker.ReadsAll, End: faker.Close},
 		{Name: "ended, the rest of the request is read", End: faker.CloseWriteAndDrain},
 		{Name: "ended, the rest of the request is not read", End: faker.CloseWriteAndHold(5 * time.Second)},
 	}
--- a/connector/faulty_test.go
+++ b/connector/faulty_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -14,8 +15,31 @@
 // clients are no client and a plain one.
 var clients = map[string]*http.Client{"default client": nil, "plain client": {Transport: &http.Transport{}}}
 
-// TestResetResponsesOfReadsAreErrors guards against a part of a response without a length that
-// ends with a reset, and passes for a complete one.
+// TestBrokenOffResponsesAreErrors guards against a part of a response without a length that
+// ends with a reset, and passes for a complete response to an append.
+func TestBrokenOffResponsesAreErrors(t *testing.T) {
+	t.Parallel()
+	const tries = 5
+	for _, server := range faker.ResetEnds() {
+		server.Response = "HTTP/1.1 200 OK\r\n\r\n" + `{"offset":7}   `
+		base := "http://" + server.Start(t)
+		for name, client := range clients {
+			for _, size := range []int{200 << 10, 8 << 20} {
+				t.Run(fmt.Sprintf("%s, record of %d, %s", server.Name, size, name), func(t *testing.T) {
+					t.Parallel()
+					log := &connector.Log{Base: base, Client: client}
+					for range tries {
+						if offset, err := log.Append(t.Context(), lagoonstile.StreamConfiguration, make([]byte, size)); err == nil {
+							t.Errorf("a part passes for a complete response: offset %d", offset)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestResetResponsesOfReadsAreErrors guards against the same for requests without a body.
 func TestResetResponsesOfReadsAreErrors(t *testing.T) {
 	t.Parallel()
 	for body, call := range calls() {
@@ -54,14 +78,14 @@
 	t.Parallel()
 	for body, call := range calls() {
 		for _, response := range append(faker.MalformedHeads("", body), faker.InvalidStatuses("", body)...) {
-			base := "http://" + faker.Server{Response: response.Text, ReadsBody: true, End: faker.Close}.Start(t)
+			base := "http://" + faker.Server{Response: response.Text, Reads: faker.ReadsAll, End: faker.Close}.Start(t)
 			for name, client := range clients {
 				if err := call(base, client); err == nil {
 					t.Errorf("%s, %s, %s: passes", body, response.Name, name)
 				}
 			}
 		}
-		base := "http://" + faker.Server{Response: faker.Sound("", body), ReadsBody: true, End: faker.Close}.Start(t)
+		base := "http://" + faker.Server{Response: faker.Sound("", body), Reads: faker.ReadsAll, End: faker.Close}.Start(t)
 		for name, client := range clients {
 			if err := call(base, client); err != nil {
 				t.Errorf("%s, sound response, %s: %v", body, name, err)
--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -56,7 +56,7 @@
 func TestMalformedResponsesAreNotForwarded(t *testing.T) {
 	t.Parallel()
 	for _, response := range append(faker.MalformedHeads("", "good"), faker.InvalidStatuses("", "good")...) {
-		server := faker.Server{Response: response.Text, ReadsBody: true, End: faker.Close}.Start(t)
+		server := faker.Server{Response: response.Text, Reads: faker.ReadsAll, End: faker.Close}.Start(t)
 		// Orders use connections of their own, and lookups kept ones.
 		for _, idempotent := range []bool{false, true} {
 			method, header := http.MethodPost, order
--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -1,4 +1,5 @@
-// Package inspector checks the heads of HTTP messages before they are parsed.
+// Package inspector checks the heads of HTTP messages before they are parsed, and the ends
+// of responses that end with their connections.
 //
 // A parser keeps what a head becomes, which is many times its bytes if it has many short
 // fields, and it passes lines that no field can be. A Head therefore looks at the bytes of
@@ -7,6 +8,9 @@
 // becomes from its request's. It keeps nothing of what it has seen. CheckField
 // checks a line of a request in the same way.
 //
+// A response without a length is complete if its connection ends without an error. AwaitEnd
+// asks for errors that a read does not meet. A Transport does both for a client of net/http.
+//
 // Neither the reason phrase nor trailers are checked: the former is ignored (RFC 9112,
 // section 4), and the latter are dropped (RFC 9110, section 6.5.1).
 package inspector
--- a/inspector/transport.go
+++ b/inspector/transport.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -10,9 +12,9 @@
 	"lagoonstile/rationer"
 )
 
-// Transport is a transport of net/http that checks the heads of responses. Their memory
-// is taken from the share in the context of the request, if there is one. Heads of
-// encrypted connections are not checked.
+// Transport is a transport of net/http that checks the heads of responses, and the ends of
+// those that end with their connection. The memory of heads is taken from the share in the
+// context of the request, if there is one. Encrypted connections are not checked.
 type Transport struct {
 	*http.Transport
 	limits Limits
@@ -43,12 +45,29 @@
 	if share := rationer.FromContext(ctx); share != nil {
 		head.Take = func(bytes int64) bool { return share.Take(ctx, bytes) }
 	}
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok {
-			c.expect(head)
-		}
-	}}
-	return t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	var used *conn // It is nil if the connection is encrypted.
+	trace := &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if used, _ = info.Conn.(*conn); used != nil {
+				used.expect(head)
+			}
+		},
+		WroteRequest: func(httptrace.WroteRequestInfo) {
+			if used != nil {
+				used.endUpload()
+			}
+		},
+	}
+	res, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err == nil && used != nil && endsWithConnection(res) {
+		used.expectEnd()
+	}
+	return res, err
+}
+
+// endsWithConnection reports whether the body of a response may end with its connection.
+func endsWithConnection(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
 }
 
 // conn is a connection of a Transport.
@@ -57,13 +76,42 @@
 
 	mu     sync.Mutex
 	reader Reader
+	upload Upload
+	// isEnd is set if the end of the connection is that of a response.
+	isEnd bool
 }
 
 // expect begins the check of the response to another request.
 func (c *conn) expect(head Head) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reader = Reader{Head: head}
+	c.reader, c.upload, c.isEnd = Reader{Head: head}, Upload{}, false
+}
+
+// expectEnd tells that the response which is being read ends with the connection.
+func (c *conn) expectEnd() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.isEnd = true
+}
+
+// endUpload tells that all of the request was written, or that its write has failed.
+func (c *conn) endUpload() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upload.Ended = true
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.upload.Written += int64(n)
+	if err != nil {
+		c.upload.Err = err
+	}
+	return n, err
 }
 
 // Read implements net.Conn.
@@ -72,12 +120,36 @@
 		return 0, err
 	}
 	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = c.checkEnd()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.reader.Source = received{p[:n], err}
 	return c.reader.Read(p)
 }
 
+// checkEnd returns the error of a read that has met the end of the connection.
+func (c *conn) checkEnd() error {
+	c.mu.Lock()
+	isEnd := c.isEnd
+	c.mu.Unlock()
+	if !isEnd {
+		return io.EOF
+	}
+	if err := AwaitEnd(c.Conn, c.uploaded); err != nil {
+		return err
+	}
+	return io.EOF
+}
+
+// uploaded returns how far the write of the request has got.
+func (c *conn) uploaded() Upload {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.upload
+}
+
 // failure returns the error of the response that is being read.
 func (c *conn) failure() error {
 	c.mu.Lock()
--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -17,14 +17,24 @@
 // little of a long body is read with the head.
 const headBufferBytes = 1 << 10
 
-// Server sends the same bytes on each connection after it has read the head of a request.
+// Reading is what a server reads of a request.
+type Reading string
+
+// The kinds of reading.
+const (
+	ReadsHead  Reading = "" // Little more than the head.
+	ReadsAll   Reading = "all"
+	ReadsStart Reading = "start" // Less than the head, if that is long.
+)
+
+// Server sends the same bytes on each connection after it has read a request or a part of it.
 type Server struct {
 	// Name says how it ends its connections.
 	Name string
 	// Response is what it sends.
 	Response string
-	// ReadsBody is set if it reads the body of the request before it responds.
-	ReadsBody bool
+	// Reads is what it reads of a request before it responds.
+	Reads Reading
 	// Pause is the time from the response to the end of the connection.
 	Pause time.Duration
 	// End ends the connection. If it is nil, the connection stays open until the test ends.
@@ -57,10 +67,7 @@
 
 func (s Server) serve(conn *net.TCPConn, stopped <-chan struct{}) {
 	defer func() { _ = conn.Close() }()
-	req, err := http.ReadRequest(bufio.NewReaderSize(conn, headBufferBytes))
-	if err == nil && s.ReadsBody {
-		_, _ = io.Copy(io.Discard, req.Body)
-	}
+	s.Reads.read(conn)
 	_, _ = io.WriteString(conn, s.Response)
 	if s.End == nil {
 		<-stopped
@@ -70,6 +77,19 @@
 	s.End(conn)
 }
 
+// read reads a request or a part of it.
+func (r Reading) read(conn net.Conn) {
+	reader := bufio.NewReaderSize(conn, headBufferBytes)
+	if r == ReadsStart {
+		_, _ = reader.Peek(1)
+		return
+	}
+	req, err := http.ReadRequest(reader)
+	if err == nil && r == ReadsAll {
+		_, _ = io.Copy(io.Discard, req.Body)
+	}
+}
+
 // Reset ends a connection with a reset.
 func Reset(conn *net.TCPConn) {
 	_ = conn.SetLinger(0)
--- a/operator/faulty_test.go
+++ b/operator/faulty_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -23,8 +25,33 @@
 	}
 }
 
-// TestResetAnswersOfShortRequestsAreErrors guards against a part of an answer without a
-// length that ends with a reset, and passes for a complete one.
+// TestBrokenOffAnswersAreErrors guards against a part of an answer without a length that
+// ends with a reset, and passes for a complete answer. The request is long by its path.
+func TestBrokenOffAnswersAreErrors(t *testing.T) {
+	t.Parallel()
+	const tries = 5
+	for _, server := range faker.ResetEnds() {
+		server.Reads, server.Response = faker.ReadsStart, "HTTP/1.1 200 OK\r\n\r\n"+status
+		address := server.Start(t)
+		for name, client := range clients() {
+			for _, size := range []int{200 << 10, 8 << 20} {
+				t.Run(fmt.Sprintf("%s, request of %d, %s", server.Name, size, name), func(t *testing.T) {
+					t.Parallel()
+					path := "/lagoonstile/entry?service=" + strings.Repeat("x", size)
+					for range tries {
+						var answer json.RawMessage
+						if err := client.Get(t.Context(), address, path, &answer); err == nil {
+							t.Errorf("a part passes for a complete answer: %s", answer)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// TestResetAnswersOfShortRequestsAreErrors guards against the same for requests of the size
+// that operators send.
 func TestResetAnswersOfShortRequestsAreErrors(t *testing.T) {
 	t.Parallel()
 	server := faker.Server{Response: "HTTP/1.1 200 OK\r\n\r\n" + status, Pause: 2 * time.Millisecond, End: faker.Reset}
--- a/relayer/faulty_test.go
+++ b/relayer/faulty_test.go
@@ -83,7 +83,7 @@
 	t.Parallel()
 	responses := append(faker.MalformedHeads(responseFields, "good"), faker.InvalidStatuses(responseFields, "good")...)
 	for _, response := range responses {
-		address := faker.Server{Response: response.Text, ReadsBody: true, End: faker.Close}.Start(t)
+		address := faker.Server{Response: response.Text, Reads: faker.ReadsAll, End: faker.Close}.Start(t)
 		for _, size := range []int{0, 10} {
 			status, body, err := send(t, listenFor(t, address), "1.1", size)
 			if err != nil || status != http.StatusBadGateway {
@@ -91,7 +91,7 @@
 			}
 		}
 	}
-	address := listenFor(t, faker.Server{Response: faker.Sound(responseFields, "good"), ReadsBody: true, End: faker.Close}.Start(t))
+	address := listenFor(t, faker.Server{Response: faker.Sound(responseFields, "good"), Reads: faker.ReadsAll, End: faker.Close}.Start(t))
 	if status, body, err := send(t, address, "1.1", 10); err != nil || status != http.StatusOK || body != "good" {
 		t.Errorf("sound response: status %d, body %q, error %v", status, body, err)
 	}
