Refuse answers whose first line is no status line of HTTP/1

What callers saw: on the platform's path and all others, an answer with `HTTP/1.1 103 Early Hints` (two blanks) before its final head could have a line that is no field (`Odd Name: v`) in that head, and the line was passed on. Answers that begin with `HTTP/1.1 200 OK`, `HTTP/2.0 200 OK` or `HTTP/0.9 200 OK` were passed on as whole ones. Cause: two readers of one line. Head looked for the status at a fixed place, while the parser skips blanks; so Head took the interim head for the final one and checked nothing behind it. Neither looked at the version. Change: Head takes one form of the line only, the one on which both agree: version 1, one blank, three digits, and a blank or the end of the line (RFC 9112, sections 2.3 and 4). Section 4 allows more blanks to be skipped; the answer is discarded as for other malformed lines, since what else is wrong with it is not known. Why it works: where both readers agree on the line, they agree on what follows it. Not changed: a control byte or a bare CR in the reason phrase.

--- a/caller/faulty_test.go
+++ b/caller/faulty_test.go
@@ -57,7 +57,7 @@
 // head is no field, or their status is none.
 func TestMalformedAnswersAreErrors(t *testing.T) {
 	t.Parallel()
-	responses := append(faker.MalformedHeads("", "good"), faker.InvalidStatuses("", "good")...)
+	responses := faker.Malformed("", "good")
 	for _, response := range responses {
 		instance := faker.Server{Response: response.Text, Reads: faker.ReadsAll, End: faker.Close}.Start(t)
 		for name, c := range callers(t, instance) {
@@ -82,7 +82,7 @@
 	t.Cleanup(instance.Close)
 	body := fmt.Sprintf(`{"addresses":[{"address":%q}],"home":"p.i.1","valid-for-ms":60000}`, address(instance))
 	sound := faker.Response{Name: "sound", Text: faker.Sound("", body)}
-	for _, response := range append(append(faker.MalformedHeads("", body), faker.InvalidStatuses("", body)...), sound) {
+	for _, response := range append(faker.Malformed("", body), sound) {
 		t.Run(response.Name, func(t *testing.T) {
 			t.Parallel()
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
--- a/connector/faulty_test.go
+++ b/connector/faulty_test.go
@@ -77,7 +77,7 @@
 func TestMalformedResponsesAreErrors(t *testing.T) {
 	t.Parallel()
 	for body, call := range calls() {
-		for _, response := range append(faker.MalformedHeads("", body), faker.InvalidStatuses("", body)...) {
+		for _, response := range faker.Malformed("", body) {
 			base := "http://" + faker.Server{Response: response.Text, Reads: faker.ReadsAll, End: faker.Close}.Start(t)
 			for name, client := range clients {
 				if err := call(base, client); err == nil {
--- a/forwarder/broken_test.go
+++ b/forwarder/broken_test.go
@@ -55,7 +55,7 @@
 // a line of their head is no field, or their status is none.
 func TestMalformedResponsesAreNotForwarded(t *testing.T) {
 	t.Parallel()
-	for _, response := range append(faker.MalformedHeads("", "good"), faker.InvalidStatuses("", "good")...) {
+	for _, response := range faker.Malformed("", "good") {
 		server := faker.Server{Response: response.Text, Reads: faker.ReadsAll, End: faker.Close}.Start(t)
 		// Orders use connections of their own, and lookups kept ones.
 		for _, idempotent := range []bool{false, true} {
--- a/inspector/inspector.go
+++ b/inspector/inspector.go
@@ -4,7 +4,7 @@
 // A parser keeps what a head becomes, which is many times its bytes if it has many short
 // fields, and it passes lines that no field can be. A Head therefore looks at the bytes of
 // a response as they are received. It fails at the first line that is malformed (RFC 9112,
-// sections 5 and 6.1), or that exceeds the limits, and takes the memory that the head
+// sections 4, 5 and 6.1), or that exceeds the limits, and takes the memory that the head
 // becomes from its request's. It keeps nothing of what it has seen. CheckField
 // checks a line of a request in the same way.
 //
@@ -152,20 +152,46 @@
 // start returns the start of the line.
 func (h *Head) start() []byte { return h.line[:min(h.size, len(h.line))] }
 
-// nextOfStatus checks a byte of the status line. The parser checks its form.
+// nextOfStatus checks a byte of the status line. What follows the line must be checked as
+// the parser reads it, so the line must have the one form that both take for the same.
 func (h *Head) nextOfStatus(b byte) error {
 	if b != '\n' {
 		h.keep(b)
 		return nil
 	}
-	const classAt = len("HTTP/1.1 ")
 	start := h.start()
+	if !isStatusLine(start) {
+		return fmt.Errorf("%w: status line %q", ErrMalformed, start)
+	}
+	status := start[statusAt:len(statusLineForm)]
 	h.old = bytes.HasPrefix(start, []byte("HTTP/1.0"))
-	h.interim = len(start) > classAt && start[classAt] == '1' && !bytes.HasPrefix(start[classAt:], []byte("101"))
+	h.interim = status[0] == '1' && string(status) != "101"
 	h.endLine()
 	return nil
 }
 
+// statusLineForm is the start of a status line of HTTP/1, in which 0 stands for any digit
+// (RFC 9112, sections 2.3 and 4). The status begins at statusAt.
+const (
+	statusLineForm = "HTTP/1.0 000"
+	statusAt       = len("HTTP/1.0 ")
+)
+
+// isStatusLine reports whether a line that starts with the given bytes is a status line. The
+// reason phrase may be missing, also with the blank before it, as many servers send it.
+func isStatusLine(start []byte) bool {
+	if len(start) < len(statusLineForm) {
+		return false
+	}
+	for i, want := range []byte(statusLineForm) {
+		if got := start[i]; got != want && (want != '0' || got < '0' || got > '9') {
+			return false
+		}
+	}
+	rest := start[len(statusLineForm):]
+	return len(rest) == 0 || rest[0] == ' ' || rest[0] == '\r'
+}
+
 // endLine begins the next line.
 func (h *Head) endLine() { h.part, h.size = lineStart, 0 }
 
--- a/inspector/malformed_test.go
+++ b/inspector/malformed_test.go
@@ -70,6 +70,52 @@
 	}
 }
 
+// TestStatusLines checks which first lines are status lines of HTTP/1. What follows one of
+// an interim head is a head, and what follows that of a final one is its body.
+func TestStatusLines(t *testing.T) {
+	tests := []struct {
+		line string
+		want error
+	}{
+		{"HTTP/1.1 200 OK", nil},
+		{"HTTP/1.0 200 OK", nil},
+		{"HTTP/1.7 200 OK", nil},
+		{"HTTP/1.1 200 ", nil},
+		{"HTTP/1.1 200", nil},
+		{"HTTP/1.1 000 Zero", nil}, // A status is judged where it is known what was asked.
+		{"HTTP/1.1 200 \xe9\t\x01", nil},
+		{"HTTP/1.1  200 OK", ErrMalformed},
+		{"HTTP/1.1  103 Early Hints", ErrMalformed},
+		{"HTTP/1.1\t200 OK", ErrMalformed},
+		{"HTTP/1.1 200\tOK", ErrMalformed},
+		{"HTTP/1.1 200OK", ErrMalformed},
+		{" HTTP/1.1 200 OK", ErrMalformed},
+		{"http/1.1 200 OK", ErrMalformed},
+		{"HTTP/0.9 200 OK", ErrMalformed},
+		{"HTTP/2.0 200 OK", ErrMalformed},
+		{"HTTP/2 200 OK", ErrMalformed},
+		{"HTTP/1 200 OK", ErrMalformed},
+		{"HTTP/1.10 200 OK", ErrMalformed},
+		{"HTTP/1.1 20 OK", ErrMalformed},
+		{"HTTP/1.1 2000 OK", ErrMalformed},
+		{"HTTP/1.1 +20 OK", ErrMalformed},
+		{"HTTP/1.1 OK", ErrMalformed},
+		{"HTTP/1.1 ", ErrMalformed},
+		{"HTTP/1.1", ErrMalformed},
+		{"", ErrMalformed},
+	}
+	for _, test := range tests {
+		for _, end := range []string{"\r\n", "\n"} {
+			for _, before := range []string{"", "HTTP/1.1 103 Early Hints\r\n\r\n"} {
+				response := before + test.line + end + "X: 1\r\n\r\n"
+				if _, err := io.ReadAll(&Reader{Source: iotest.OneByteReader(strings.NewReader(response))}); !errors.Is(err, test.want) {
+					t.Errorf("%q: error %v, want %v", response, err, test.want)
+				}
+			}
+		}
+	}
+}
+
 // TestFramingOfVersions checks that a transfer coding is refused where the version has
 // none (RFC 9112, section 6.1).
 func TestFramingOfVersions(t *testing.T) {
--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 )
@@ -140,6 +141,12 @@
 	return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", fields, len(body), body)
 }
 
+// Malformed returns the responses of MalformedHeads, MalformedStatusLines and
+// InvalidStatuses.
+func Malformed(fields, body string) []Response {
+	return slices.Concat(MalformedHeads(fields, body), MalformedStatusLines(fields, body), InvalidStatuses(fields, body))
+}
+
 // MalformedHeads returns responses in whose heads a line is no field, because its name has
 // a blank, a control byte or another byte that no token has (RFC 9110, section 5.1). Apart
 // from that each is a complete response with status 200, the given field lines and the
@@ -165,6 +172,21 @@
 	)
 }
 
+// MalformedStatusLines returns responses with status 200 that are complete apart from their
+// first line, which is no status line of HTTP/1 (RFC 9112, sections 2.3 and 4).
+func MalformedStatusLines(fields, body string) []Response {
+	var responses []Response
+	for _, line := range []string{
+		"HTTP/1.1  200 OK", "HTTP/1.1\t200 OK", " HTTP/1.1 200 OK", "HTTP/1.1 200\tOK",
+		"HTTP/0.9 200 OK", "HTTP/2.0 200 OK", "HTTP/2 200 OK", "HTTP/1 200 OK", "HTTP/1.10 200 OK", "http/1.1 200 OK",
+	} {
+		responses = append(responses, Response{fmt.Sprintf("status line %q", line), line + "\r\n" + framed(fields, body)})
+	}
+	return append(responses, Response{
+		"malformed head behind an interim one with two blanks", "HTTP/1.1  103 Early Hints\r\n\r\n" + Sound(fields+"Odd Name: v\r\n", body),
+	})
+}
+
 // InvalidStatuses returns complete responses whose status is none (RFC 9110, section 15),
 // or says that another protocol follows that nobody asked for. They have the given field
 // lines and the given body.
--- a/linker/faulty_test.go
+++ b/linker/faulty_test.go
@@ -64,6 +64,8 @@
 		{"control byte in a name", switching + "\r\nX-\x01: v", false},
 		{"zero byte in a name", switching + "\r\nX-\x00: v", false},
 		{"no name", switching + "\r\n: v", false},
+		{"two blanks", "HTTP/1.1  101 Switching Protocols", false},
+		{"other version", "HTTP/2.0 101 Switching Protocols", false},
 		{"status 000", "HTTP/1.1 000 Zero", false},
 		{"status 099", "HTTP/1.1 099 Low", false},
 		{"status 200", "HTTP/1.1 200 OK", false},
--- a/operator/faulty_test.go
+++ b/operator/faulty_test.go
@@ -71,7 +71,7 @@
 // head is no field, or their status is none.
 func TestMalformedAnswersAreErrors(t *testing.T) {
 	t.Parallel()
-	responses := append(faker.MalformedHeads("", status), faker.InvalidStatuses("", status)...)
+	responses := faker.Malformed("", status)
 	for _, response := range responses {
 		address := faker.Server{Response: response.Text, End: faker.Close}.Start(t)
 		for name, client := range clients() {
--- a/relayer/faulty_test.go
+++ b/relayer/faulty_test.go
@@ -81,7 +81,7 @@
 // a line of their head is no field, or their status is none.
 func TestMalformedResponsesAreNotPassedOn(t *testing.T) {
 	t.Parallel()
-	responses := append(faker.MalformedHeads(responseFields, "good"), faker.InvalidStatuses(responseFields, "good")...)
+	responses := faker.Malformed(responseFields, "good")
 	for _, response := range responses {
 		address := faker.Server{Response: response.Text, Reads: faker.ReadsAll, End: faker.Close}.Start(t)
 		for _, size := range []int{0, 10} {
