Refuse answers that name another request besides their own

What callers saw: an answer with `X-Request-Id` twice, the second one another request's, was passed on as a whole answer with both values. Cause: the exchange looked at the first value only. Change: every value of the field must be the id that was sent. Why it works: no value is left that could tell another request, so it is known whose answer it is (RFC 9110, section 5.3: such a field may not be repeated).

--- a/exchanger/reading.go
+++ b/exchanger/reading.go
@@ -67,13 +67,28 @@
 	if head.ContentLength < 0 {
 		r.limited.Left, r.limited.Err = r.limits.MaxUnknownLengthBytes, ErrBodyTooLarge
 	}
-	if got := head.Header.Get(r.req.RequestIDHeader); got != r.req.RequestID {
-		return nil, fmt.Errorf("%w: %q", errRequestIDMismatch, got)
+	if err := r.checkRequestID(head.Header); err != nil {
+		return nil, err
 	}
 	r.enlarge(head.ContentLength)
 	return r.withBody(head)
 }
 
+// checkRequestID returns an error unless the header names the request, and no other one: it
+// could not be known then whose response it is.
+func (r *reading) checkRequestID(header http.Header) error {
+	ids := header.Values(r.req.RequestIDHeader)
+	if len(ids) == 0 {
+		return errRequestIDMismatch
+	}
+	for _, id := range ids {
+		if id != r.req.RequestID {
+			return fmt.Errorf("%w: %.80q", errRequestIDMismatch, id)
+		}
+	}
+	return nil
+}
+
 // enlarge gives the connection the receive buffer for large bodies, if the body may be
 // large and the budget has room to spare.
 func (r *reading) enlarge(length int64) {
--- a/relayer/faulty_test.go
+++ b/relayer/faulty_test.go
@@ -78,10 +78,11 @@
 }
 
 // TestMalformedResponsesAreNotPassedOn guards against responses that reach a client although
-// a line of their head is no field, or their status is none.
+// a line of their head is no field, their status is none, or they also name another request.
 func TestMalformedResponsesAreNotPassedOn(t *testing.T) {
 	t.Parallel()
-	responses := faker.Malformed(responseFields, "good")
+	responses := append(faker.Malformed(responseFields, "good"),
+		faker.Response{Name: "ID of another request besides", Text: faker.Sound(responseFields+"X-Id: 8\r\n", "good")})
 	for _, response := range responses {
 		address := faker.Server{Response: response.Text, Reads: faker.ReadsAll, End: faker.Close}.Start(t)
 		for _, size := range []int{0, 10} {
