Say which connection a request was written on, and rename two things

Cause: read as a newcomer, `failure` and `isEnd` each had a second meaning beside them. By reading, a request that net/http sends once more has two connections, and the write on the first one may report its end while the second is taken: a data race, not seen in a run. Change: the connection is held in an atomic pointer, and a write that has failed does not count as ended (its error was noted). connError and endsResponse in place of the two names.

--- a/inspector/end.go
+++ b/inspector/end.go
@@ -49,7 +49,7 @@
 		}
 		unsent, _ := sizer.Unsent(conn) // It is 0 where the kernel does not tell.
 		if sent.Ended {
-			if err := failure(conn); err != nil {
+			if err := connError(conn); err != nil {
 				return brokenOff(err)
 			}
 			if unsent == 0 {
@@ -70,9 +70,9 @@
 	return fmt.Errorf("%w: the connection failed while the request was sent: %w", io.ErrUnexpectedEOF, cause)
 }
 
-// failure returns an error if the connection was reset or closed. An empty write sends
+// connError returns an error if the connection was reset or closed. An empty write sends
 // nothing, but fails then. Connections that are not the kernel's are not asked.
-func failure(conn net.Conn) error {
+func connError(conn net.Conn) error {
 	source, ok := conn.(syscall.Conn)
 	if !ok {
 		return nil
--- a/inspector/transport.go
+++ b/inspector/transport.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 
 	"lagoonstile/rationer"
 )
@@ -45,22 +46,26 @@
 	if share := rationer.FromContext(ctx); share != nil {
 		head.Take = func(bytes int64) bool { return share.Take(ctx, bytes) }
 	}
-	var used *conn // It is nil if the connection is encrypted.
+	// used is the connection of the request, or nil if it is encrypted. A request that is
+	// sent once more has another, while the write on the first one may still go on.
+	var used atomic.Pointer[conn]
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
-			if used, _ = info.Conn.(*conn); used != nil {
-				used.expect(head)
+			c, _ := info.Conn.(*conn)
+			used.Store(c)
+			if c != nil {
+				c.expect(head)
 			}
 		},
-		WroteRequest: func(httptrace.WroteRequestInfo) {
-			if used != nil {
-				used.endUpload()
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if c := used.Load(); c != nil && info.Err == nil {
+				c.endUpload()
 			}
 		},
 	}
 	res, err := t.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
-	if err == nil && used != nil && endsWithConnection(res) {
-		used.expectEnd()
+	if c := used.Load(); c != nil && err == nil && endsWithConnection(res) {
+		c.expectEnd()
 	}
 	return res, err
 }
@@ -77,25 +82,25 @@
 	mu     sync.Mutex
 	reader Reader
 	upload Upload
-	// isEnd is set if the end of the connection is that of a response.
-	isEnd bool
+	// endsResponse is set if the response that is being read ends with the connection.
+	endsResponse bool
 }
 
 // expect begins the check of the response to another request.
 func (c *conn) expect(head Head) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reader, c.upload, c.isEnd = Reader{Head: head}, Upload{}, false
+	c.reader, c.upload, c.endsResponse = Reader{Head: head}, Upload{}, false
 }
 
 // expectEnd tells that the response which is being read ends with the connection.
 func (c *conn) expectEnd() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.isEnd = true
+	c.endsResponse = true
 }
 
-// endUpload tells that all of the request was written, or that its write has failed.
+// endUpload tells that all of the request was written.
 func (c *conn) endUpload() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -132,9 +137,9 @@
 // checkEnd returns the error of a read that has met the end of the connection.
 func (c *conn) checkEnd() error {
 	c.mu.Lock()
-	isEnd := c.isEnd
+	ends := c.endsResponse
 	c.mu.Unlock()
-	if !isEnd {
+	if !ends {
 		return io.EOF
 	}
 	if err := AwaitEnd(c.Conn, c.uploaded); err != nil {
