--- a/internal/faker/faker.go
+++ b/internal/faker/faker.go
@@ -12,11 +12,16 @@
 	"slices"
 	"testing"
 	"time"
+
+	"lagoonstile/sizer"
 )
 
-// headBufferBytes is the size of the buffer for the head of a request. It is small so that
-// little of a long body is read with the head.
-const headBufferBytes = 1 << 10
+// Buffers of a connection. They are small so that most of a long request is on its way while
+// the server does not read it, on any machine.
+const (
+	headBufferBytes            = 1 << 10
+	receiveBuffer   sizer.Size = 16 << 10
+)
 
 // Reading is what a server reads of a request.
 type Reading string
@@ -45,7 +50,8 @@
 // Start starts the server and returns its address. The server stops when the test ends.
 func (s Server) Start(t testing.TB) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	config := net.ListenConfig{Control: receiveBuffer.Control}
+	ln, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
