Keep ports of the fleet tests free while other tests start processes

The code under test is not involved.

Cause: the tests draw a port by listening on it and closing the listener, and restart instances on their ports. TestReloadWhileStarting starts processes of the same test process meanwhile. Between its fork and its exec, a new process holds copies of all sockets, so that a closed listener's port stays in use.

Change: ports are drawn and instances stopped while syscall.ForkLock is held for reading, so that no process is being started.

--- a/cmd/standin/rehearser/testbed_test.go
+++ b/cmd/standin/rehearser/testbed_test.go
@@ -6,12 +6,9 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -131,30 +128,6 @@
 	}
 }
 
-// Ports of instances are below those that the system gives to outgoing connections,
-// which would take them before the instance listens.
-const firstPort, endPort = 10_000, 30_000
-
-// freePorts returns n ports of ip that are free for TCP at the moment. It assumes
-// that they are free for UDP too.
-func freePorts(t testing.TB, ip string, n int) []int {
-	t.Helper()
-	var ports []int
-	for tries := 0; len(ports) < n; tries++ {
-		port := firstPort + rand.IntN(endPort-firstPort)
-		l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port)))
-		if err != nil && tries < 100 {
-			continue
-		}
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = l.Close() }()
-		ports = append(ports, port)
-	}
-	return ports
-}
-
 // start starts the n-th instance, which is stopped when the test ends.
 func (tb *testbed) start(n int) {
 	tb.t.Helper()
@@ -187,10 +160,12 @@
 
 // stop stops the n-th instance without a graceful shutdown, if it is running.
 func (tb *testbed) stop(n int) {
-	if running := tb.instances[n].running; running != nil {
-		tb.instances[n].running = nil
-		running.Stop()
+	running := tb.instances[n].running
+	if running == nil {
+		return
 	}
+	tb.instances[n].running = nil
+	withoutForks(running.Stop)
 }
 
 // startBackend starts a server and registers it in the store.
